--- /dev/null
+++ b/src/control.cpp
@@ -0,0 +1,689 @@
+// The decisions of quillgrade, all of them. The interface and the state are in control.hpp.
+//
+// One Router stands for one router process. Its owner hands it the list of caches (list), purges (purged) and
+// probe results (probed), and calls tend() when that has asked for it. Each lookup is taken with take(),
+// which gives a handle; place() starts it and ended(), accepted(), look() and left() tell what happened to it
+// later. Each call answers what is to be sent. Nothing here knows a clock, a file or a name: the time comes
+// with each call and chance from the seed. The design is CacheShield; docs/design.md tells what was kept and
+// what changed.
+#include "control.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace quillgrade {
+
+namespace {
+
+constexpr Micros ms = 1000, second = 1000 * ms;
+
+// The shield: the design's starting values.
+constexpr double whole_p = 20, least_p = 1, most_p = 2, q = 0.5;
+constexpr Micros halving = 30 * second;
+constexpr std::size_t most_names = 16384;  // a name costs some 40 bytes, so this is under a megabyte
+constexpr int kept_rank = 2;
+
+// Measurements: enough samples to tell a trend, few enough that a recovery shows within seconds.
+constexpr std::size_t few = 16, many = 64;
+constexpr Micros sample_life = 5 * second;
+
+// Judging servers.
+constexpr double unusual_silence = 8;  // mean gaps; an exponential gap is that long once in 3,000 times
+constexpr Micros least_gap = 30 * ms, unknown_gap = 200 * ms;
+constexpr double bad_share = 0.3, far_worse = 2.5;  // failing or slow beside its peers
+constexpr std::size_t enough = 6;
+constexpr Micros trial_every = 500 * ms;
+constexpr double in_flight_room = 1.5;
+constexpr double least_in_flight = 6;
+
+// Guards.
+constexpr double budget_margin = 0.6;  // for what other routers and the estimate of the link may get wrong
+constexpr double credit_per_answer = 0.15, most_credit = 20;
+constexpr Micros look_every = 200 * ms, tend_every = 100 * ms;
+
+void add(Samples& samples, Micros at, double value, std::size_t most = few) {
+    samples.push_back({at, value});
+    if (samples.size() > most) samples.pop_front();
+}
+
+std::vector<double> recent(const Samples& samples, Micros now) {
+    std::vector<double> values;
+    for (auto& sample : samples)
+        if (now - sample.at < sample_life) values.push_back(sample.value);
+    return values;
+}
+
+double mean(const std::vector<double>& values, double none) {
+    if (values.empty()) return none;
+    double sum = 0;
+    for (double value : values) sum += value;
+    return sum / values.size();
+}
+
+double median(std::vector<double> values, double none) {
+    if (values.empty()) return none;
+    auto middle = values.begin() + values.size() / 2;
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
+
+std::vector<double> all(const Samples& samples) {
+    std::vector<double> values;
+    for (auto& sample : samples) values.push_back(sample.value);
+    return values;
+}
+
+// Rendezvous hashing: each object orders all servers in its own way, in proportion to their ratings.
+double draw_of(ObjectId object, const Server& server, bool rated) {
+    std::uint64_t x = object * 0x9e3779b97f4a7c15u ^ server.id * 0xd6e8feb86659fd93u;
+    x = (x ^ x >> 30) * 0xbf58476d1ce4e5b9u;
+    x = (x ^ x >> 27) * 0x94d049bb133111ebu;
+    double unit = ((x ^ x >> 31) >> 11) * 0x1p-53 + 0x1p-54;
+    return std::log(unit) / (rated && server.rating > 0 ? server.rating : 1.0);
+}
+
+bool is_parent(const Router& router, const Server& server) { return server.kind == router.parent_kind; }
+bool is_origin(const Router& router, const Server& server) { return server.kind == router.origin_kind; }
+bool is_edge(const Router& router, const Server& server) {
+    return !is_parent(router, server) && !is_origin(router, server) && server.zone == router.zone;
+}
+bool same_role(const Router& router, const Server& a, const Server& b) {
+    return is_parent(router, a) == is_parent(router, b) && is_edge(router, a) == is_edge(router, b);
+}
+
+std::vector<Server*> in_hash_order(Router& router, ObjectId object,
+                                   bool (*role)(const Router&, const Server&)) {
+    std::vector<std::pair<double, Server*>> drawn;
+    for (auto& server : router.servers)
+        if (server.listed == Listed::Ready && role(router, server))
+            drawn.push_back({draw_of(object, server, router.ratings_are_links), &server});
+    std::sort(drawn.begin(), drawn.end(), [](auto& a, auto& b) {
+        return a.first != b.first ? a.first > b.first : a.second->id < b.second->id;
+    });
+    std::vector<Server*> order;
+    for (auto& [value, server] : drawn) order.push_back(server);
+    return order;
+}
+
+bool holds(const std::vector<CacheId>& ids, CacheId id) {
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+// The mean sending time of a traffic type; its goal time until something has been seen.
+double mean_sending(const Traffic& traffic) { return mean(all(traffic.sizes), traffic.goal); }
+
+double rate(const Samples& finished) {
+    if (finished.size() < enough) return 0;
+    double sum = 0;
+    for (auto& sample : finished) sum += sample.value;
+    return sum / std::max<Micros>(finished.back().at - finished.front().at, 100 * ms);
+}
+
+// Rate times time: as many lookups as the server answers, as measured, within a usual goal time.
+double most_in_flight(const Router& router, const Server& server) {
+    if (server.finished.size() < enough) return least_in_flight;
+    double span = std::max<Micros>(server.finished.back().at - server.finished.front().at, 100 * ms);
+    double time = 0, types = 0;
+    for (auto& type : router.traffic) {
+        time += type.goal + type.goal_stretch * mean_sending(type);
+        types++;
+    }
+    return std::max(least_in_flight, in_flight_room * server.finished.size() / span * time / types);
+}
+
+Micros cold_since(const Server& server) { return std::max(server.started, server.back_since); }
+
+bool is_cold(const Router& router, const Server& server, Micros now) {
+    Micros since = cold_since(server);
+    return since > 0 && now - since < (is_parent(router, server) ? router.parent_cold : router.cold);
+}
+
+void sound(Server& server, Micros now) {
+    Micros due = server.last_sound;
+    Micros first = 0;
+    for (auto& flight : server.in_flight)
+        if (first == 0 || flight.sent + flight.expected < first) first = flight.sent + flight.expected;
+    due = std::max(due, first);
+    if (first > 0 && now > due) add(server.gaps, now, now - due);
+    server.last_sound = now;
+}
+
+void land(Server* server, LookupId lookup, int round) {
+    if (!server) return;
+    auto& flights = server->in_flight;
+    flights.erase(std::remove_if(flights.begin(), flights.end(),
+                                 [&](auto& f) { return f.lookup == lookup && f.round == round; }),
+                  flights.end());
+}
+
+Server* pick_parent_or_origin(Router& router, bool (*role)(const Router&, const Server&)) {
+    for (auto& server : router.servers)
+        if (server.listed == Listed::Ready && role(router, server)) return &server;
+    return nullptr;
+}
+
+bool on_trial(Server& server, Micros now) {
+    if (now - server.last_trial < trial_every) return false;
+    server.last_trial = now;
+    return true;
+}
+
+Micros left_of(const Held& held, Micros now) { return held.facts.due - now; }
+
+Answer transmit(Router& router, Held& held, Server& cache, Micros now) {
+    CacheId source_id = pick_source(router, held, now);
+    if (!is_edge(router, cache)) source_id = is_origin(router, cache) ? cache.id : source_id;
+    auto& type = router.traffic[held.facts.traffic];
+    double work = mean_sending(type);
+    auto expected = static_cast<Micros>(held.sending * median(all(type.spread), 1.0));
+    int round = static_cast<int>(held.rounds.size());
+    held.rounds.push_back({cache.id, source_id, now, static_cast<Micros>(work)});
+    InFlight flight{held.facts.id, round, now, expected, held.sending};
+    cache.in_flight.push_back(flight);
+    if (is_cold(router, cache, now)) add(cache.spent, now, work, 1024);
+    if (Server* source = find_server(router, source_id); source && source != &cache) {
+        source->in_flight.push_back(flight);
+        if (is_cold(router, *source, now)) add(source->spent, now, work, 1024);
+    }
+    Answer answer;
+    Transmission send{};
+    send.cache = cache.id;
+    send.source = source_id;
+    send.rank = held.keep ? kept_rank : 0;
+    send.oldest = oldest_allowed(router, held.facts, now);
+    send.join = router.joins;
+    send.renew = held.keep && type.fresh > 0;
+    answer.send = send;
+    Micros patience = std::max(look_every, 2 * expected);
+    answer.look_in = std::max<Micros>(1, std::min(left_of(held, now), patience));
+    return answer;
+}
+
+void withdraw_rest(Router& router, Held& held, Answer& answer) {
+    if (!router.withdraw) return;
+    for (std::size_t i = 0; i < held.rounds.size(); i++)
+        if (held.rounds[i].out) answer.withdraw.push_back(static_cast<int>(i));
+}
+
+void forget_if_over(Router& router, Held& held) {
+    for (auto& round : held.rounds)
+        if (round.out) return;
+    if (held.done) router.held.erase(held.facts.id);
+}
+
+// The final answer, given at once: a rejection where the rules let the client ask again, else a break-off.
+Answer give_up(Router& router, Held& held, Micros now) {
+    Answer answer;
+    bool reject = may_reject(router, held) && left_of(held, now) > 0;
+    answer.final = reject ? Final::Rejected : Final::BrokenOff;
+    if (reject) answer.come_back = router.most_retry_after;
+    held.done = true;
+    withdraw_rest(router, held, answer);
+    forget_if_over(router, held);
+    return answer;
+}
+
+}  // namespace
+
+std::uint32_t Random::next() {
+    std::uint64_t old = state;
+    state = old * 6364136223846793005u + 1442695040888963407u;
+    auto shifted = static_cast<std::uint32_t>((old >> 18 ^ old) >> 27);
+    auto turn = static_cast<unsigned>(old >> 59);
+    return shifted >> turn | shifted << (-turn & 31);
+}
+
+double Random::unit() { return next() * 0x1p-32; }
+
+double psi(double t, double p) { return 1 / (1 + std::exp((p - t) / q)); }
+
+Router::Router(const SiteFacts& site, std::uint64_t seed) {
+    for (auto& t : site.traffic)
+        traffic.push_back({t.goal,
+                           t.limit,
+                           t.fresh,
+                           t.grace,
+                           t.window,
+                           t.goal_stretch,
+                           t.value,
+                           t.effect,
+                           t.group,
+                           t.stream,
+                           t.write,
+                           {},
+                           {}});
+    edge_sharers = std::max(1, site.routers_by_zone.at(site.zone));
+    parent_sharers = std::max(1, site.routers);
+    p = std::clamp(whole_p / edge_sharers, least_p, most_p);
+    kb_per_us = site.kb_per_s / second;
+    zone = site.zone;
+    parent_kind = site.parent_kind;
+    origin_kind = site.origin_kind;
+    transmissions_cap = site.transmissions_cap;
+    second_copies = site.second_copies;
+    withdraw = site.withdraw;
+    probes = site.probes;
+    joins = site.joins;
+    direct = site.direct;
+    ratings_are_links = site.ratings_are_links;
+    notes = site.notes;
+    cold_from = site.cold_from;
+    cold_multiple = site.cold_multiple;
+    parent_cold_from = site.parent_cold_from;
+    parent_multiple = site.parent_multiple;
+    cold = site.cold;
+    cold_window = site.cold_window;
+    parent_cold = site.parent_cold;
+    purge_done = site.purge_done;
+    connect_timeout = site.connect_timeout;
+    most_retry_after = site.retry_after ? site.most_retry_after : 0;
+    want_list = site.list_must_be_asked;
+    credit = most_credit / 2;
+    chance.state = seed;
+    chance.next();
+}
+
+Server* find_server(Router& router, CacheId id) {
+    auto at = std::lower_bound(router.servers.begin(), router.servers.end(), id,
+                               [](auto& server, CacheId wanted) { return server.id < wanted; });
+    return at != router.servers.end() && at->id == id ? &*at : nullptr;
+}
+
+void Router::list(const std::vector<ListEntry>& entries, bool complete, Micros) {
+    if (complete)
+        for (auto& server : servers) server.listed = Listed::Gone;
+    for (auto& entry : entries) {
+        Server* server = find_server(*this, entry.id);
+        if (!server) {
+            Server fresh;
+            fresh.id = entry.id;
+            auto at = std::lower_bound(servers.begin(), servers.end(), entry.id,
+                                       [](auto& known, CacheId wanted) { return known.id < wanted; });
+            server = &*servers.insert(at, fresh);
+        }
+        if (entry.started > server->started) {  // a new process: what was measured was of the old one
+            server->gaps.clear();
+            server->verdicts.clear();
+            server->slowness.clear();
+            server->first_byte.clear();
+            server->unreached_at = server->back_since = 0;
+        }
+        server->listed = entry.listed;
+        if (entry.listed == Listed::Gone) continue;
+        server->rating = entry.rating;
+        server->kind = entry.kind;
+        server->cell = entry.cell;
+        server->zone = entry.zone;
+        server->started = entry.started;
+    }
+}
+
+void Router::list_failed() { want_list = true; }
+
+void Router::purged(ObjectId object, int group, Micros how_old, Micros now) {
+    std::erase_if(purged_objects, [&](auto& known) { return known.second.until < now; });
+    std::erase_if(purged_groups, [&](auto& known) { return known.second.until < now; });
+    Purge purge{now - how_old, now - how_old + purge_done};
+    auto& known = object ? purged_objects[object] : purged_groups[group];
+    if (purge.at > known.at) known = purge;
+}
+
+// No copy older than the latest purge will do, until no such copy can be left; 0 leaves it at the fresh time.
+Micros oldest_allowed(const Router& router, const LookupFacts& lookup, Micros now) {
+    Micros fresh = router.traffic[lookup.traffic].fresh;
+    Micros oldest = fresh;
+    auto heed = [&](auto& purges, auto key) {
+        auto found = purges.find(key);
+        if (found == purges.end() || found->second.until + second < now) return;
+        Micros since = std::max<Micros>(1, now - found->second.at);
+        oldest = oldest > 0 ? std::min(oldest, since) : since;
+    };
+    heed(router.purged_objects, lookup.object);
+    heed(router.purged_groups, lookup.group);
+    return oldest == fresh ? 0 : oldest;
+}
+
+// CacheShield: a first part raises its object's count and draws; a kept name goes on asking keep while its
+// count stays, and later parts follow. A later part whose name is not known (the router was restarted since)
+// counts as the first one seen.
+bool keep_or_pass(Router& router, const LookupFacts& lookup, Micros now) {
+    if (lookup.write || router.traffic[lookup.traffic].write) return false;
+    auto known = router.names.find(lookup.object);
+    if (lookup.part > 0 && known != router.names.end()) return known->second.kept;
+    if (router.halved_at == 0) router.halved_at = now;
+    while (now - router.halved_at >= halving ||
+           (known == router.names.end() && router.names.size() >= most_names)) {
+        for (auto& [object, name] : router.names) name.asked /= 2;
+        std::erase_if(router.names, [](auto& name) { return name.second.asked == 0; });
+        router.halved_at = now;
+        known = router.names.find(lookup.object);
+    }
+    auto& name = router.names[lookup.object];
+    name.asked++;
+    if (router.chance.unit() < psi(name.asked, router.p)) name.kept = true;
+    return name.kept;
+}
+
+// How many mean gaps long the present silence of a server is, counted from when its next answer was due.
+double silence(const Server& server, Micros now) {
+    Micros due = 0;
+    for (auto& flight : server.in_flight)
+        if (due == 0 || flight.sent + flight.expected < due) due = flight.sent + flight.expected;
+    Micros since = std::max(due, server.last_sound);
+    if (due == 0 || now <= since) return 0;
+    double gap = server.gaps.size() < 4 ? unknown_gap : mean(all(server.gaps), unknown_gap);
+    return (now - since) / std::max<double>(gap, least_gap);
+}
+
+// What speaks against a server now, nullptr if nothing: each sign is measured against its peers, so that
+// trouble which all of them share (a slow origin, a crowd) is not laid at the door of one.
+const char* complaint(const Router& router, const Server& server, Micros now) {
+    if (server.unreached_at > 0) return "unreachable";
+    if (silence(server, now) > unusual_silence) return "silent";
+    auto verdicts = recent(server.verdicts, now);
+    auto slowness = recent(server.slowness, now);
+    std::vector<double> peers_bad, peers_slow;
+    for (auto& peer : router.servers) {
+        if (peer.id == server.id || peer.listed != Listed::Ready || !same_role(router, peer, server))
+            continue;
+        auto bad = recent(peer.verdicts, now), slow = recent(peer.slowness, now);
+        if (bad.size() >= enough) peers_bad.push_back(mean(bad, 0));
+        if (slow.size() >= enough) peers_slow.push_back(median(slow, 1));
+    }
+    if (verdicts.size() >= enough &&
+        mean(verdicts, 0) > std::max(bad_share, far_worse * median(peers_bad, 0)))
+        return "failing";
+    if (slowness.size() >= enough && !peers_slow.empty() &&
+        median(slowness, 1) > far_worse * std::max(1.0, median(peers_slow, 1)))
+        return "slow";
+    return nullptr;
+}
+
+// A cold server may be asked, by all routers together and within any window, for a multiple of what it can
+// do; this router takes its share of that, less a margin. Where the link is not told, what this router has
+// seen its like carry stands for its share of the link.
+bool within_cold_budget(const Router& router, const Server& server, double work, Micros now) {
+    if (!is_cold(router, server, now)) return true;
+    bool parent = is_parent(router, server);
+    double from = parent ? router.parent_cold_from : router.cold_from;
+    Micros warm_after = parent ? router.parent_cold : router.cold;
+    double age = std::max<double>(0, now - router.cold_window - cold_since(server));
+    double share = from + (1 - from) * age / warm_after;
+    double link = 0;
+    if (router.ratings_are_links) {
+        link = server.rating / (parent ? router.parent_sharers : router.edge_sharers);
+    } else {
+        std::vector<double> seen;
+        for (auto& peer : router.servers)
+            if (same_role(router, peer, server) && rate(peer.finished) > 0)
+                seen.push_back(rate(peer.finished));
+        link = mean(seen, 0);
+    }
+    double allowed =
+        (parent ? router.parent_multiple : router.cold_multiple) * share * link * router.cold_window;
+    double spent = work;
+    for (auto& sample : server.spent)
+        if (now - sample.at < router.cold_window + 100 * ms) spent += sample.value;
+    return spent <= budget_margin * allowed;
+}
+
+// Of the object's first two parents the one with the lower smoothed first-byte time; a parent that was not
+// heard from lately counts as average, one alone serves alone, and none means the origin.
+CacheId pick_source(Router& router, const Held& held, Micros now) {
+    Server* origin = pick_parent_or_origin(router, is_origin);
+    double work = mean_sending(router.traffic[held.facts.traffic]);
+    auto parents = in_hash_order(router, held.facts.object, is_parent);
+    std::vector<double> heard;
+    for (auto* parent : parents)
+        if (auto times = recent(parent->first_byte, now); !times.empty()) heard.push_back(mean(times, 0));
+    double average = mean(heard, 0);
+    if (parents.size() > 2) parents.resize(2);
+    Server* best = nullptr;
+    double best_time = 0;
+    for (auto* parent : parents) {
+        if (holds(held.failed_from, parent->id) || !within_cold_budget(router, *parent, work, now)) continue;
+        if (complaint(router, *parent, now)) {
+            if (on_trial(*parent, now)) return parent->id;
+            continue;
+        }
+        double time = mean(recent(parent->first_byte, now), average);
+        if (!best || time < best_time) {
+            best = parent;
+            best_time = time;
+        }
+    }
+    if (best) return best->id;
+    if (origin) return origin->id;
+    return parents.empty() ? 0 : parents.front()->id;
+}
+
+// The first cache in the object's hash order that nothing speaks against. If all are crowded the least
+// crowded one serves, and if all are under complaint the first that the rules leave, so that the last path
+// stays open.
+Server* pick_cache(Router& router, const Held& held, Micros now) {
+    double work = mean_sending(router.traffic[held.facts.traffic]);
+    Server *least = nullptr, *last = nullptr;
+    double least_crowd = 0;
+    for (auto* cache : in_hash_order(router, held.facts.object, is_edge)) {
+        if (!may_send(router, held, *cache, now) || !within_cold_budget(router, *cache, work, now)) continue;
+        if (holds(held.failed_at, cache->id)) continue;
+        if (complaint(router, *cache, now)) {
+            if (held.rounds.empty() && on_trial(*cache, now)) return cache;
+            if (!last) last = cache;
+            continue;
+        }
+        double crowd = cache->in_flight.size() / most_in_flight(router, *cache);
+        if (crowd < 1) return cache;
+        if (!least || crowd < least_crowd) {
+            least = cache;
+            least_crowd = crowd;
+        }
+    }
+    return least ? least : last;
+}
+
+// Rule 2: nothing is sent again that may have run, unless the traffic type allows it there and then.
+bool may_send(const Router& router, const Held& held, const Server& to, Micros now) {
+    auto& type = router.traffic[held.facts.traffic];
+    if (held.done || static_cast<int>(held.rounds.size()) >= router.transmissions_cap) return false;
+    for (auto& round : held.rounds) {
+        if (round.out && !router.second_copies) return false;
+        if (!round.out && !round.may_have_run) continue;
+        if (type.effect == Effect::Rerunnable) continue;
+        if (type.effect == Effect::Exclusive || now - round.sent >= type.window) return false;
+        auto at = std::lower_bound(router.servers.begin(), router.servers.end(), round.cache,
+                                   [](auto& server, CacheId wanted) { return server.id < wanted; });
+        if (at == router.servers.end() || at->id != round.cache) return false;
+        if (type.group == Group::Zone && at->zone != to.zone) return false;
+        if (type.group == Group::Cell && at->cell != to.cell) return false;
+    }
+    return true;
+}
+
+bool may_reject(const Router& router, const Held& held) {
+    auto& type = router.traffic[held.facts.traffic];
+    if (type.effect == Effect::Rerunnable) return true;
+    for (auto& round : held.rounds)
+        if ((round.out || round.may_have_run) &&
+            (type.effect == Effect::Exclusive || type.group != Group::All))
+            return false;
+    return true;
+}
+
+Handle Router::take(const LookupFacts& facts, Micros now) {
+    auto& type = traffic[facts.traffic];
+    Held& lookup = held[facts.id];
+    lookup = Held{};
+    lookup.facts = facts;
+    lookup.taken = now;
+    if (facts.kbytes > 0) {
+        lookup.sending = static_cast<Micros>(facts.kbytes / kb_per_us);
+        add(type.sizes, now, lookup.sending, many);
+    } else {
+        lookup.sending = static_cast<Micros>(median(all(type.sizes), type.goal));
+    }
+    lookup.goal = now + type.goal + static_cast<Micros>(type.goal_stretch * lookup.sending);
+    return {*this, lookup};
+}
+
+std::optional<Handle> Router::find(LookupId id) {
+    auto found = held.find(id);
+    if (found == held.end()) return std::nullopt;
+    return Handle{*this, found->second};
+}
+
+// The ordinary path of a lookup.
+Answer Handle::place(Micros now) {
+    held.keep = keep_or_pass(router, held.facts, now);
+    if (held.facts.kbytes > 0 && held.sending > left_of(held, now)) return give_up(router, held, now);
+    Server* cache = pick_cache(router, held, now);
+    if (!cache && router.direct) {
+        CacheId source = pick_source(router, held, now);
+        cache = source ? find_server(router, source) : nullptr;
+    }
+    if (!cache) return give_up(router, held, now);
+    return transmit(router, held, *cache, now);
+}
+
+Answer Handle::ended(const AttemptEnd& end, Micros now) {
+    if (end.round < 0 || end.round >= static_cast<int>(held.rounds.size())) return {};
+    auto& round = held.rounds[end.round];
+    if (!round.out) return {};
+    round.out = false;
+    bool proven_idle = end.outcome == Outcome::Full || end.outcome == Outcome::Unconnected ||
+                       end.outcome == Outcome::Moot || end.outcome == Outcome::Miss;
+    round.may_have_run = !proven_idle;
+
+    auto& type = router.traffic[held.facts.traffic];
+    Server* cache = find_server(router, round.cache);
+    Server* source = round.source == round.cache ? nullptr : find_server(router, round.source);
+    bool ok = end.outcome == Outcome::Ok;
+    bool hit = ok && (end.note == Note::Hit || end.note == Note::Old);
+    bool ours = end.outcome == Outcome::Cancelled || end.outcome == Outcome::Moot;
+    bool by_source = end.note >= Note::SourceRefused && end.note != Note::NoPlace;
+    if (cache && !ours) {
+        if (end.outcome != Outcome::Timeout && end.outcome != Outcome::Unconnected) {
+            sound(*cache, now);
+            if (cache->unreached_at > 0 && now - cache->unreached_at > second) cache->back_since = now;
+            cache->unreached_at = 0;
+        }
+        if (end.outcome == Outcome::Unconnected && cache->unreached_at == 0) cache->unreached_at = now;
+        if (!by_source && end.outcome != Outcome::Miss) add(cache->verdicts, now, ok ? 0 : 1);
+        if (hit) add(cache->slowness, now, end.lag / std::max<double>(held.sending, 10 * ms));
+        if (ok) add(cache->finished, now, round.work, many);
+    }
+    if (source && !ours && !hit) {
+        if (ok || by_source) sound(*source, now);
+        if (ok || by_source || router.notes != NotesTold::All) add(source->verdicts, now, ok ? 0 : 1);
+        if (ok || by_source) add(source->first_byte, now, end.waited > 0 ? end.waited : end.lag);
+        if (ok) add(source->finished, now, round.work, many);
+    }
+    if (source && hit)  // the source was never asked
+        std::erase_if(source->spent, [&](auto& s) { return s.at == round.sent && s.value == round.work; });
+    land(cache, held.facts.id, end.round);
+    land(source, held.facts.id, end.round);
+    if (ok) {
+        add(type.spread, now, end.lag / std::max<double>(held.sending, 10 * ms), many);
+        if (hit && held.facts.kbytes <= 0) add(type.sizes, now, end.lag, many);
+        router.credit = std::min(most_credit, router.credit + credit_per_answer);
+    }
+
+    Answer answer;
+    if (ok || end.closed || held.done) {
+        if (!held.done) withdraw_rest(router, held, answer);
+        held.done = true;
+        forget_if_over(router, held);
+        return answer;
+    }
+    if (by_source)
+        held.failed_from.push_back(round.source);
+    else if (!ours)
+        held.failed_at.push_back(round.cache);
+    for (auto& other : held.rounds)
+        if (other.out) return answer;  // a second copy is still on its way
+    Server* next =
+        left_of(held, now) > held.sending && router.credit >= 1 ? pick_cache(router, held, now) : nullptr;
+    if (!next) return give_up(router, held, now);
+    router.credit -= 1;
+    return transmit(router, held, *next, now);
+}
+
+Answer Handle::accepted(int round, Micros, Micros) {
+    Answer answer;
+    held.done = true;
+    for (std::size_t i = 0; i < held.rounds.size(); i++)
+        if (held.rounds[i].out && static_cast<int>(i) != round && router.withdraw)
+            answer.withdraw.push_back(static_cast<int>(i));
+    return answer;
+}
+
+// Called while a lookup is out. When its cache has fallen silent the lookup goes to another one: as a second
+// copy where that is allowed, else after the first was withdrawn.
+Answer Handle::look(Micros now) {
+    if (held.done) return {};
+    if (left_of(held, now) <= 0) return give_up(router, held, now);
+    Answer answer;
+    answer.look_in = std::max<Micros>(1, std::min(left_of(held, now), look_every));
+    if (held.moving || router.credit < 1 || left_of(held, now) < held.sending) return answer;
+    int out = 0;
+    for (auto& round : held.rounds)
+        if (round.out) {
+            out++;
+            Server* at = find_server(router, round.cache);
+            if (!at || !complaint(router, *at, now)) return answer;
+            if (!holds(held.failed_at, round.cache)) held.failed_at.push_back(round.cache);
+        }
+    if (out != 1) return answer;
+    if (!router.second_copies) {
+        if (router.withdraw && router.traffic[held.facts.traffic].effect == Effect::Rerunnable) {
+            held.moving = true;
+            withdraw_rest(router, held, answer);
+        }
+        return answer;
+    }
+    Server* next = pick_cache(router, held, now);
+    if (!next || complaint(router, *next, now)) return answer;
+    router.credit -= 1;
+    return transmit(router, held, *next, now);
+}
+
+Answer Handle::left() {
+    Answer answer;
+    held.done = true;
+    withdraw_rest(router, held, answer);
+    forget_if_over(router, held);
+    return answer;
+}
+
+void Router::probed(CacheId id, Outcome outcome, Micros, const LoadReport&, Micros now) {
+    Server* server = find_server(*this, id);
+    if (!server) return;
+    if (outcome == Outcome::Ok) {
+        sound(*server, now);
+        if (server->unreached_at > 0 && now - server->unreached_at > second) server->back_since = now;
+        server->unreached_at = 0;
+    } else if (server->unreached_at == 0) {
+        server->unreached_at = now;
+    }
+}
+
+// Probes what has gone quiet and reports changes of favour.
+Upkeep Router::tend(Micros now) {
+    Upkeep upkeep;
+    upkeep.look_in = tend_every;
+    upkeep.subscribe = want_list;
+    want_list = false;
+    for (auto& server : servers) {
+        if (server.listed != Listed::Ready || !is_edge(*this, server)) continue;
+        const char* wrong = complaint(*this, server, now);
+        bool quiet = server.unreached_at > 0 || silence(server, now) > unusual_silence;
+        if (quiet && probes && on_trial(server, now)) upkeep.probe.push_back(server.id);
+        if (server.out_of_favour != (wrong != nullptr))
+            upkeep.log.push_back("cache " + std::to_string(server.id) +
+                                 (wrong ? ": " : " is back in favour") + (wrong ? wrong : ""));
+        server.out_of_favour = wrong != nullptr;
+    }
+    return upkeep;
+}
+
+}  // namespace quillgrade
--- /dev/null
+++ b/src/control.hpp
@@ -0,0 +1,259 @@
+// The interface of the decision module (src/control.cpp) and the state it keeps, as plain types.
+// Everything here only names things: each decision, table bound and tuned value is in control.cpp.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace quillgrade {
+
+using Micros = std::int64_t;
+using LookupId = std::uint64_t;
+using ObjectId = std::uint64_t;
+using CacheId = std::uint64_t;  // the six bytes of the wire, unaltered
+
+enum class Effect { Rerunnable, Ticketed, Exclusive };
+enum class Group { All, Zone, Cell };
+enum class Outcome { Error, Ok, Full, Timeout, Unconnected, Reset, Cancelled, Moot, Miss };
+enum class Note {
+    None,
+    Hit,
+    Filled,
+    FilledByOrigin,
+    Joined,
+    Old,
+    SourceRefused,
+    SourceLost,
+    SourceLacks,
+    NoPlace,
+    OriginFailed
+};
+enum class Final { None, Rejected, BrokenOff };
+enum class Listed { Ready, Gone, Draining };
+enum class NotesTold { All, Hit, None };
+
+// What the start-up message states of one traffic type.
+struct TrafficFacts {
+    Micros goal, limit;
+    double goal_stretch, value, late_value;
+    Effect effect;
+    Group group;
+    Micros window, fresh, grace;
+    bool stream, write;
+};
+
+// What the start-up message states of the site; read once, by Router's constructor.
+struct SiteFacts {
+    std::vector<TrafficFacts> traffic;
+    int routers, zone, parent_kind, origin_kind, transmissions_cap;
+    std::vector<int> routers_by_zone, hub_of;
+    bool second_copies, withdraw, probes, peers, retry_after, joins, direct, ratings_are_links;
+    NotesTold notes;
+    double kb_per_s;
+    Micros connect_timeout, most_retry_after, drain_grace, purge_done;
+    double cold_from, cold_multiple, parent_cold_from, parent_multiple, origin_multiple;
+    Micros cold, cold_window, parent_cold, origin_window;
+    std::vector<std::string> report_fields;
+    bool list_must_be_asked;
+};
+
+struct ListEntry {
+    CacheId id;
+    Listed listed;
+    double rating;
+    int kind, cell, zone;
+    Micros started;  // 0: long past
+};
+
+struct LoadReport {
+    int count = 0;
+    std::array<float, 4> values{};
+};
+
+struct LookupFacts {
+    LookupId id;
+    int traffic;
+    ObjectId object;
+    Micros due;
+    double kbytes;  // 0 where not told
+    int group, part;
+    bool repeat, write;
+};
+
+struct AttemptEnd {
+    Outcome outcome;
+    Micros lag, waited;
+    int round;
+    Note note;
+    bool closed;
+    CacheId cache;
+    LoadReport load;
+};
+
+// One transmission, with the orders for a miss.
+struct Transmission {
+    CacheId cache, source;
+    int rank;
+    Micros oldest, limit;
+    bool join, renew;
+};
+
+// What a call on a handle answers: at most one transmission and at most one final answer.
+struct Answer {
+    std::vector<int> withdraw;  // rounds to stop waiting for
+    std::optional<Transmission> send;
+    Final final = Final::None;
+    Micros come_back = 0;  // advice to a rejected client, 0: none
+    Micros look_in = 0;    // when to call look() next, from now, 0: never
+};
+
+// What a call that is not about one lookup answers.
+struct Upkeep {
+    std::vector<CacheId> probe;
+    std::vector<std::string> log;
+    Micros look_in = 0;
+    bool subscribe = false;
+};
+
+// The last few samples of something, oldest first.
+struct Sample {
+    Micros at;
+    double value;
+};
+using Samples = std::deque<Sample>;
+
+struct InFlight {
+    LookupId lookup;
+    int round;
+    Micros sent, expected, work;
+};
+
+struct Server {
+    CacheId id = 0;
+    Listed listed = Listed::Ready;
+    double rating = 1;
+    int kind = 0, cell = 0, zone = 0;
+    Micros started = 0;
+    Micros last_sound = 0;    // when it last answered anything
+    Micros last_trial = 0;    // when it was last tried while out of favour
+    Micros unreached_at = 0;  // since when it could not be reached, 0: it can
+    Micros back_since = 0;    // when it answered again after it could not be reached
+    bool out_of_favour = false;
+    std::vector<InFlight> in_flight;
+    Samples gaps;        // between answers, while something was due
+    Samples verdicts;    // 1 a failure, 0 a good answer
+    Samples slowness;    // time taken over time expected
+    Samples finished;    // sending time answered
+    Samples first_byte;  // of a source
+    Samples spent;       // sending time sent while cold
+};
+
+struct CountedName {
+    std::uint32_t asked = 0;
+    bool kept = false;
+};
+
+struct RoundOut {
+    CacheId cache, source;
+    Micros sent, work;
+    bool out = true, may_have_run = true;
+};
+
+struct Held {
+    LookupFacts facts;
+    Micros taken = 0, goal = 0, sending = 0;
+    bool keep = false, done = false, moving = false;
+    std::vector<RoundOut> rounds;
+    std::vector<CacheId> failed_at, failed_from;
+};
+
+struct Traffic {
+    Micros goal, limit, fresh, grace, window;
+    double goal_stretch, value;
+    Effect effect;
+    Group group;
+    bool stream, write;
+    Samples sizes;   // sending times, told or else seen
+    Samples spread;  // time taken over sending time
+};
+
+struct Purge {
+    Micros at, until;
+};
+
+struct Random {
+    std::uint64_t state = 0;
+    std::uint32_t next();
+    double unit();
+};
+
+class Router;
+
+// A lookup that was taken. All that happens to it later is a call on its handle.
+class Handle {
+public:
+    Handle(Router& router, Held& held) : router(router), held(held) {}
+    Answer place(Micros now);                            // the first transmission, or a final answer
+    Answer ended(const AttemptEnd& end, Micros now);     // one transmission ended
+    Answer accepted(int round, Micros lag, Micros now);  // a streamed answer has begun
+    Answer look(Micros now);                             // the time asked for by look_in has come
+    Answer left();                                       // the client went away
+
+    Router& router;
+    Held& held;
+};
+
+class Router {
+public:
+    Router(const SiteFacts& site, std::uint64_t seed);
+    Handle take(const LookupFacts& lookup, Micros now);
+    std::optional<Handle> find(LookupId id);  // empty once nothing of it is left
+    void list(const std::vector<ListEntry>& entries, bool complete, Micros now);
+    void list_failed();
+    void purged(ObjectId object, int group, Micros how_old, Micros now);
+    void probed(CacheId cache, Outcome outcome, Micros lag, const LoadReport& load, Micros now);
+    Upkeep tend(Micros now);  // to be called at start and then whenever its look_in has passed
+
+    // Derived figures.
+    std::vector<Traffic> traffic;
+    double p = 1, kb_per_us = 0;
+    int zone = 0, parent_kind = -1, origin_kind = -1, transmissions_cap = 1, origin_cell = 0;
+    bool second_copies = false, withdraw = false, probes = false, joins = false, direct = false;
+    bool ratings_are_links = false;
+    NotesTold notes = NotesTold::None;
+    double edge_sharers = 1, parent_sharers = 1;
+    double cold_from = 0, cold_multiple = 0, parent_cold_from = 0, parent_multiple = 0;
+    Micros cold = 0, cold_window = 0, parent_cold = 0, purge_done = 0, connect_timeout = 0,
+           most_retry_after = 0;
+
+    // What has been observed.
+    Random chance;
+    std::unordered_map<ObjectId, CountedName> names;
+    Micros halved_at = 0;
+    std::vector<Server> servers;  // sorted by id
+    std::unordered_map<LookupId, Held> held;
+    std::unordered_map<ObjectId, Purge> purged_objects;
+    std::unordered_map<int, Purge> purged_groups;
+    bool want_list = false;
+    double credit = 0;  // further transmissions that good answers have paid for
+};
+
+// The parts of the decision that tests call by themselves.
+double psi(double t, double p);
+bool keep_or_pass(Router& router, const LookupFacts& lookup, Micros now);
+CacheId pick_source(Router& router, const Held& held, Micros now);
+Server* pick_cache(Router& router, const Held& held, Micros now);
+Micros oldest_allowed(const Router& router, const LookupFacts& lookup, Micros now);
+bool within_cold_budget(const Router& router, const Server& server, double work, Micros now);
+double silence(const Server& server, Micros now);
+const char* complaint(const Router& router, const Server& server, Micros now);
+bool may_send(const Router& router, const Held& held, const Server& to, Micros now);
+bool may_reject(const Router& router, const Held& held);
+Server* find_server(Router& router, CacheId id);
+
+}  // namespace quillgrade
--- /dev/null
+++ b/tests/control_test.cpp
@@ -0,0 +1,211 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include <cmath>
+
+#include "helpers.hpp"
+
+using namespace quillgrade;
+
+TEST_CASE("psi is one half at p and rises with the count") {
+    CHECK(psi(2, 2) == doctest::Approx(0.5));
+    CHECK(psi(1, 2) == doctest::Approx(1 / (1 + std::exp(2.0))));
+    CHECK(psi(5, 2) > 0.99);
+}
+
+TEST_CASE("p is 20 over the location's routers, held between 1 and 2") {
+    auto facts = site();
+    CHECK(Router(facts, 1).p == 2);
+    facts.routers_by_zone[1] = 16;
+    CHECK(Router(facts, 1).p == 1.25);
+    facts.routers_by_zone[1] = 40;
+    CHECK(Router(facts, 1).p == 1);
+}
+
+TEST_CASE("a kept name goes on asking keep, and later parts follow without counting") {
+    auto r = router();
+    r.names[77] = {3, true};
+    CHECK(keep_or_pass(r, lookup(1, 77, 4), noon));
+    CHECK(r.names[77].asked == 3);
+    CHECK(keep_or_pass(r, lookup(1, 77, 0), noon));
+    CHECK(r.names[77].asked == 4);
+    r.names[78] = {3, false};
+    CHECK_FALSE(keep_or_pass(r, lookup(1, 78, 4), noon));
+}
+
+TEST_CASE("a later part of a name that is not known counts as the first") {
+    auto r = router();
+    keep_or_pass(r, lookup(1, 77, 4), noon);
+    CHECK(r.names[77].asked == 1);
+}
+
+TEST_CASE("counts halve every 30 s and a name that falls to nothing is forgotten") {
+    auto r = router();
+    r.halved_at = noon;
+    r.names[1] = {1, true};
+    r.names[2] = {9, true};
+    keep_or_pass(r, lookup(1, 77), noon + 30 * test_second);
+    CHECK_FALSE(r.names.contains(1));
+    CHECK(r.names[2].asked == 4);
+}
+
+TEST_CASE("the table of names is bounded") {
+    auto r = router();
+    for (ObjectId object = 0; object < 40000; object++) keep_or_pass(r, lookup(1, object + 1), noon);
+    CHECK(r.names.size() <= 16384);
+}
+
+TEST_CASE("uncacheable lookups pass untouched") {
+    auto r = router();
+    auto write = lookup(1);
+    write.write = true;
+    CHECK_FALSE(keep_or_pass(r, write, noon));
+    CHECK(r.names.empty());
+}
+
+TEST_CASE("of two parents the one with the lower first-byte time is the source") {
+    auto r = router();
+    Held held;
+    held.facts = lookup(1);
+    find_server(r, 11)->first_byte = {{noon, 90e3}};
+    find_server(r, 12)->first_byte = {{noon, 30e3}};
+    CHECK(pick_source(r, held, noon) == 12);
+}
+
+TEST_CASE("one parent serves alone and none means the origin") {
+    auto r = router();
+    Held held;
+    held.facts = lookup(1);
+    find_server(r, 12)->listed = Listed::Gone;
+    CHECK(pick_source(r, held, noon) == 11);
+    find_server(r, 11)->listed = Listed::Draining;
+    CHECK(pick_source(r, held, noon) == 20);
+}
+
+TEST_CASE("rule 1: a lookup whose caches are all gone is rejected at once, with advice") {
+    auto r = router();
+    for (CacheId id : {1, 2, 3}) find_server(r, id)->listed = Listed::Gone;
+    auto answer = r.take(lookup(1), noon).place(noon);
+    CHECK(answer.final == Final::Rejected);
+    CHECK(answer.come_back > 0);
+    CHECK_FALSE(r.find(1));
+}
+
+TEST_CASE("rule 1: a time-out at the client's limit is answered by a break-off and nothing is sent") {
+    auto r = router();
+    auto handle = r.take(lookup(1), noon);
+    auto sent = handle.place(noon);
+    auto answer = handle.ended(end(Outcome::Timeout, sent.send->cache), noon + 4 * test_second);
+    CHECK(answer.final == Final::BrokenOff);
+    CHECK_FALSE(answer.send);
+}
+
+TEST_CASE("rule 1: with no outcome at all, looking in at the limit ends the lookup") {
+    auto r = router();
+    auto handle = r.take(lookup(1), noon);
+    handle.place(noon);
+    CHECK(handle.look(noon + 4 * test_second).final == Final::BrokenOff);
+}
+
+TEST_CASE("rule 2: an exclusive lookup that may have run is neither sent again nor rejected") {
+    auto facts = site();
+    facts.traffic[0].effect = Effect::Exclusive;
+    auto r = router(facts);
+    Held held;
+    held.facts = lookup(1);
+    held.rounds = {{1, 11, noon, 0, false, true}};
+    CHECK_FALSE(may_send(r, held, *find_server(r, 2), noon));
+    CHECK_FALSE(may_reject(r, held));
+    held.rounds[0].may_have_run = false;
+    CHECK(may_send(r, held, *find_server(r, 2), noon));
+    CHECK(may_reject(r, held));
+}
+
+TEST_CASE("rule 2: a ticketed lookup stays in its group and inside its window") {
+    auto facts = site();
+    facts.traffic[0].effect = Effect::Ticketed;
+    facts.traffic[0].group = Group::Cell;
+    auto r = router(facts);
+    Held held;
+    held.facts = lookup(1);
+    held.rounds = {{1, 11, noon, 0, false, true}};
+    CHECK(may_send(r, held, *find_server(r, 2), noon + test_second));
+    CHECK_FALSE(may_send(r, held, *find_server(r, 2), noon + 4 * test_second));
+    find_server(r, 2)->cell = 8;
+    CHECK_FALSE(may_send(r, held, *find_server(r, 2), noon + test_second));
+    CHECK_FALSE(may_reject(r, held));
+}
+
+TEST_CASE("rule 2: no second transmission beside the first where the site forbids it") {
+    auto facts = site();
+    facts.second_copies = false;
+    auto r = router(facts);
+    Held held;
+    held.facts = lookup(1);
+    held.rounds = {{1, 11, noon, 0, true, true}};
+    CHECK_FALSE(may_send(r, held, *find_server(r, 2), noon));
+}
+
+TEST_CASE("rule 3: a draining cache gets nothing new") {
+    auto r = router();
+    Held held;
+    held.facts = lookup(1);
+    auto* first = pick_cache(r, held, noon);
+    first->listed = Listed::Draining;
+    auto* second = pick_cache(r, held, noon);
+    REQUIRE(second);
+    CHECK(second->id != first->id);
+}
+
+TEST_CASE("rule 4: a cold server has a budget over any window, fills included") {
+    auto facts = site();
+    facts.ratings_are_links = true;
+    auto r = router(facts);
+    auto& cold = *find_server(r, 1);
+    cold.started = noon;
+    CHECK(within_cold_budget(r, cold, 100e3, noon));
+    cold.spent = {{noon, 700e3}};
+    CHECK_FALSE(within_cold_budget(r, cold, 100e3, noon));
+    CHECK(within_cold_budget(r, cold, 100e3, noon + 2 * test_second));
+    CHECK(within_cold_budget(r, cold, 9e6, noon + 10 * test_second));
+    auto& parent = *find_server(r, 11);
+    parent.started = noon;
+    parent.spent = {{noon, 150e3}};
+    CHECK_FALSE(within_cold_budget(r, parent, 100e3, noon));
+}
+
+TEST_CASE("rule 5: a purge of the object or its group bounds the age that will do") {
+    auto r = router();
+    r.purged(0, 3, 40 * test_ms, noon);
+    CHECK(oldest_allowed(r, lookup(1), noon + test_second) == 1040 * test_ms);
+    r.purged(77, 3, 0, noon + test_second);
+    CHECK(oldest_allowed(r, lookup(1), noon + 3 * test_second) == 2 * test_second);
+    CHECK(oldest_allowed(r, lookup(1), noon + 60 * test_second) == 0);
+}
+
+TEST_CASE("silence counts mean gaps beyond the time an answer was due") {
+    Server server;
+    server.gaps = {{0, 100e3}, {0, 100e3}, {0, 100e3}, {0, 100e3}};
+    CHECK(silence(server, noon) == 0);
+    server.in_flight = {{1, 0, noon, 200 * test_ms, 0}};
+    CHECK(silence(server, noon + 100 * test_ms) == 0);
+    CHECK(silence(server, noon + 700 * test_ms) == doctest::Approx(5));
+}
+
+TEST_CASE("a cache that fails far more than its peers is passed by, but not for good") {
+    auto r = router();
+    Held held;
+    held.facts = lookup(1);
+    auto* first = pick_cache(r, held, noon);
+    for (int i = 0; i < 8; i++) first->verdicts.push_back({noon, 1});
+    first->last_trial = noon;
+    CHECK(pick_cache(r, held, noon) != first);
+    CHECK(pick_cache(r, held, noon + 600 * test_ms) == first);
+}
+
+TEST_CASE("one seed gives one result") {
+    Random a{7}, b{7}, c{8};
+    for (int i = 0; i < 9; i++) CHECK(a.next() == b.next());
+    c.next();
+    CHECK(a.next() != c.next());
+}
