Shed the largest lookups when a location's work out nears rate times goal time

Cause: crowded caches went on taking everything; answers came after their goal time, clients asked again and up to 78% of transmissions were turned away as full. What is out is now held against what the caches answer, as measured, times the goal time; past 0.7 of that the largest lookups of each traffic type are rejected at once. It answers any jam, whatever brought it; it hurts where a crowd would have passed by itself.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -39,6 +39,7 @@
 // Guards.
 constexpr double budget_margin = 0.6;  // for what other routers and the estimate of the link may get wrong
 constexpr double credit_per_answer = 0.15, most_credit = 20;
+constexpr double crowded = 0.7, jammed = 1.3;  // shedding begins and reaches all but the smallest lookups
 constexpr Micros look_every = 200 * ms, tend_every = 100 * ms;
 
 void add(Samples& samples, Micros at, double value, std::size_t most = few) {
@@ -532,10 +533,45 @@
     return Handle{*this, found->second};
 }
 
+// Rate times time for the whole location: the sending time that is out, over what its caches answer, as
+// measured, within the goal times of what they are asked. Near 1 the usual answer comes at its goal time.
+double crowd(const Router& router, Micros now) {
+    double out = 0, answered = 0, wanted = 0, asked = 0;
+    for (auto& server : router.servers) {
+        if (!is_edge(router, server)) continue;
+        for (auto& flight : server.in_flight) out += flight.work;
+        if (server.finished.size() < enough) continue;
+        double sum = 0;
+        for (auto& sample : server.finished) sum += sample.value;
+        answered += sum / std::max<Micros>(now - server.finished.front().at, 100 * ms);
+    }
+    for (auto& type : router.traffic)
+        for (auto& size : type.sizes) {
+            wanted += size.value * (type.goal + type.goal_stretch * size.value);
+            asked += size.value;
+        }
+    return answered > 0 && asked > 0 ? out / answered / (wanted / asked) : 0;
+}
+
+// Guards against a jam that feeds itself (late answers, clients asking again, caches turning work away),
+// whatever brought it: a jump in arrivals, oversized objects, a flush, a slow origin or lost caches. Each
+// type's largest lookups go first, as one of them costs as much as many others and all are worth the same. It
+// hurts where the crowd would have passed by itself within a goal time.
+bool shed(const Router& router, const Held& held, Micros now) {
+    double share = std::clamp((jammed - crowd(router, now)) / (jammed - crowded), 0.05, 1.0);
+    if (share == 1) return false;
+    auto sizes = all(router.traffic[held.facts.traffic].sizes);
+    if (sizes.size() < enough) return false;
+    auto cut = sizes.begin() + static_cast<std::ptrdiff_t>(share * (sizes.size() - 1));
+    std::nth_element(sizes.begin(), cut, sizes.end());
+    return held.sending > *cut;
+}
+
 // The ordinary path of a lookup.
 Answer Handle::place(Micros now) {
     held.keep = keep_or_pass(router, held.facts, now);
     if (held.facts.kbytes > 0 && held.sending > left_of(held, now)) return give_up(router, held, now);
+    if (shed(router, held, now)) return give_up(router, held, now);
     Server* cache = pick_cache(router, held, now);
     if (!cache && router.direct) {
         CacheId source = pick_source(router, held, now);
@@ -570,7 +606,7 @@
         if (end.outcome == Outcome::Unconnected && cache->unreached_at == 0) cache->unreached_at = now;
         if (!by_source && end.outcome != Outcome::Miss) add(cache->verdicts, now, ok ? 0 : 1);
         if (hit) add(cache->slowness, now, end.lag / std::max<double>(held.sending, 10 * ms));
-        if (ok) add(cache->finished, now, round.work, many);
+        if (ok) add(cache->finished, now, held.sending, many);
     }
     if (source && !ours && !hit) {
         if (ok || by_source) sound(*source, now);
--- a/src/control.hpp
+++ b/src/control.hpp
@@ -252,6 +252,8 @@
 bool within_cold_budget(const Router& router, const Server& server, double work, Micros now);
 double silence(const Server& server, Micros now);
 const char* complaint(const Router& router, const Server& server, Micros now);
+double crowd(const Router& router, Micros now);
+bool shed(const Router& router, const Held& held, Micros now);
 bool may_send(const Router& router, const Held& held, const Server& to, Micros now);
 bool may_reject(const Router& router, const Held& held);
 Server* find_server(Router& router, CacheId id);
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -216,6 +216,21 @@
     CHECK(pick_cache(r, held, noon + 600 * test_ms) == first);
 }
 
+// Guards against the jam of the first incidents: crowded caches kept on taking the largest lookups.
+TEST_CASE("in a crowd the largest lookups are shed and the small ones are not") {
+    auto r = router();
+    for (int i = 0; i < 20; i++) r.traffic[0].sizes.push_back({noon, 100e3 + i * 50e3});
+    for (CacheId id : {1, 2, 3})
+        for (int i = 0; i < 10; i++) find_server(r, id)->finished.push_back({noon - test_second, 100e3});
+    Held large, small;
+    large.sending = 1000 * test_ms;
+    small.sending = 100 * test_ms;
+    CHECK_FALSE(shed(r, large, noon));
+    for (int i = 0; i < 12; i++) find_server(r, 1)->in_flight.push_back({9, 0, noon, 0, 500 * test_ms});
+    CHECK(shed(r, large, noon));
+    CHECK_FALSE(shed(r, small, noon));
+}
+
 TEST_CASE("one seed gives one result") {
     Random a{7}, b{7}, c{8};
     for (int i = 0; i < 9; i++) CHECK(a.next() == b.next());
