--- a/src/control.hpp
+++ b/src/control.hpp
@@ -165,7 +165,7 @@
 };
 
 struct Held {
-    LookupFacts facts;
+    LookupFacts facts{};
     Micros taken = 0, goal = 0, sending = 0;
     bool keep = false, done = false, moving = false;
     std::vector<RoundOut> rounds;
