Let large lookups only look while fills crowd the link in, and learn untold sizes

The fills have a crowd figure of their own now; while it is high the largest lookups ask their cache without a fill, and a miss is rejected at once. Sizes that are not told are learned per object, whose parts are alike. It also covers a slow origin and lost parents; it hurts an object that only needs one fill to become a hit.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -113,11 +113,11 @@
 // The mean sending time of a traffic type; its goal time until something has been seen.
 double mean_sending(const Traffic& traffic) { return mean(all(traffic.sizes), traffic.goal); }
 
-double rate(const Samples& finished) {
+double rate(const Samples& finished, Micros now) {
     if (finished.size() < enough) return 0;
     double sum = 0;
     for (auto& sample : finished) sum += sample.value;
-    return sum / std::max<Micros>(finished.back().at - finished.front().at, 100 * ms);
+    return sum / std::max<Micros>(now - finished.front().at, 100 * ms);
 }
 
 // Rate times time: as many lookups as the server answers, as measured, within a usual goal time.
@@ -173,7 +173,8 @@
 
 Answer transmit(Router& router, Held& held, Server& cache, Micros now) {
     // Straight at a parent or the origin, the source is that server itself; anything else is a fault.
-    CacheId source_id = is_edge(router, cache) ? pick_source(router, held, now) : cache.id;
+    bool fill = is_edge(router, cache) && !held.look_only;
+    CacheId source_id = fill ? pick_source(router, held, now) : cache.id;
     auto& type = router.traffic[held.facts.traffic];
     double work = mean_sending(type);
     auto expected = static_cast<Micros>(held.sending * median(all(type.spread), 1.0));
@@ -416,8 +417,8 @@
     } else {
         std::vector<double> seen;
         for (auto& peer : router.servers)
-            if (same_role(router, peer, server) && rate(peer.finished) > 0)
-                seen.push_back(rate(peer.finished));
+            if (same_role(router, peer, server) && peer.finished.size() >= enough)
+                seen.push_back(rate(peer.finished, peer.finished.back().at));
         link = mean(seen, 0);
     }
     double allowed =
@@ -520,8 +521,10 @@
     if (facts.kbytes > 0) {
         lookup.sending = static_cast<Micros>(facts.kbytes / kb_per_us);
         add(type.sizes, now, lookup.sending, many);
+    } else if (auto name = names.find(facts.object); name != names.end() && name->second.sending > 0) {
+        lookup.sending = name->second.sending;
     } else {
-        lookup.sending = static_cast<Micros>(median(all(type.sizes), type.goal));
+        lookup.sending = static_cast<Micros>(mean_sending(type));
     }
     lookup.goal = now + type.goal + static_cast<Micros>(type.goal_stretch * lookup.sending);
     return {*this, lookup};
@@ -533,32 +536,50 @@
     return Handle{*this, found->second};
 }
 
+// The goal time of the work that is usually asked for: large lookups have longer ones.
+double goal_of_work(const Router& router) {
+    double wanted = 0, asked = 0;
+    for (auto& type : router.traffic)
+        for (auto& size : type.sizes) {
+            wanted += size.value * (type.goal + type.goal_stretch * size.value);
+            asked += size.value;
+        }
+    return asked > 0 ? wanted / asked : 0;
+}
+
 // Rate times time for the whole location: the sending time that is out, over what its caches answer, as
-// measured, within the goal times of what they are asked. Near 1 the usual answer comes at its goal time.
+// measured, within the goal time. Near 1 the usual answer comes at its goal time.
 double crowd(const Router& router, Micros now) {
-    double out = 0, answered = 0, wanted = 0, asked = 0;
+    double out = 0, answered = 0, goal = goal_of_work(router);
     for (auto& server : router.servers) {
         if (!is_edge(router, server)) continue;
         for (auto& flight : server.in_flight) out += flight.work;
-        if (server.finished.size() < enough) continue;
-        double sum = 0;
-        for (auto& sample : server.finished) sum += sample.value;
-        answered += sum / std::max<Micros>(now - server.finished.front().at, 100 * ms);
+        answered += rate(server.finished, now);
     }
-    for (auto& type : router.traffic)
-        for (auto& size : type.sizes) {
-            wanted += size.value * (type.goal + type.goal_stretch * size.value);
-            asked += size.value;
-        }
-    return answered > 0 && asked > 0 ? out / answered / (wanted / asked) : 0;
+    return answered > 0 && goal > 0 ? out / answered / goal : 0;
+}
+
+// The same for what is filled through the location's link: of the lookups that name a source, those that are
+// out for longer than a hit takes count whole, the others by the share of misses.
+double fill_crowd(const Router& router, Micros now) {
+    double out = 0, filled = 0, answered = 0, goal = goal_of_work(router);
+    for (auto& server : router.servers)
+        (is_edge(router, server) ? answered : filled) += rate(server.finished, now);
+    if (filled <= 0 || answered <= 0 || goal <= 0) return 0;
+    double misses = std::min(1.0, filled / answered);
+    for (auto& server : router.servers)
+        if (!is_edge(router, server))
+            for (auto& flight : server.in_flight)
+                out += flight.work * (now - flight.sent > 2 * flight.work + 100 * ms ? 1 : misses);
+    return out / filled / goal;
 }
 
 // Guards against a jam that feeds itself (late answers, clients asking again, caches turning work away),
 // whatever brought it: a jump in arrivals, oversized objects, a flush, a slow origin or lost caches. Each
 // type's largest lookups go first, as one of them costs as much as many others and all are worth the same. It
 // hurts where the crowd would have passed by itself within a goal time.
-bool shed(const Router& router, const Held& held, Micros now) {
-    double share = std::clamp((jammed - crowd(router, now)) / (jammed - crowded), 0.05, 1.0);
+bool too_large(const Router& router, const Held& held, double crowd) {
+    double share = std::clamp((jammed - crowd) / (jammed - crowded), 0.05, 1.0);
     if (share == 1) return false;
     auto sizes = all(router.traffic[held.facts.traffic].sizes);
     if (sizes.size() < enough) return false;
@@ -571,7 +592,8 @@
 Answer Handle::place(Micros now) {
     held.keep = keep_or_pass(router, held.facts, now);
     if (held.facts.kbytes > 0 && held.sending > left_of(held, now)) return give_up(router, held, now);
-    if (shed(router, held, now)) return give_up(router, held, now);
+    if (too_large(router, held, crowd(router, now))) return give_up(router, held, now);
+    held.look_only = too_large(router, held, fill_crowd(router, now));
     Server* cache = pick_cache(router, held, now);
     if (!cache && router.direct) {
         CacheId source = pick_source(router, held, now);
@@ -620,7 +642,12 @@
     land(source, held.facts.id, end.round);
     if (ok) {
         add(type.spread, now, end.lag / std::max<double>(held.sending, 10 * ms), many);
-        if (hit && held.facts.kbytes <= 0) add(type.sizes, now, end.lag, many);
+        if (held.facts.kbytes <= 0) {  // parts of an object are alike, so the quickest answer tells the size
+            auto name = router.names.find(held.facts.object);
+            if (name != router.names.end() && (name->second.sending == 0 || end.lag < name->second.sending))
+                name->second.sending = end.lag;
+            if (hit) add(type.sizes, now, name != router.names.end() ? name->second.sending : end.lag, many);
+        }
         router.credit = std::min(most_credit, router.credit + credit_per_answer);
     }
 
--- a/src/control.hpp
+++ b/src/control.hpp
@@ -156,6 +156,7 @@
 struct CountedName {
     std::uint32_t asked = 0;
     bool kept = false;
+    Micros sending = 0;  // of one part, told or else the quickest seen; 0: not known
 };
 
 struct RoundOut {
@@ -167,7 +168,7 @@
 struct Held {
     LookupFacts facts{};
     Micros taken = 0, goal = 0, sending = 0;
-    bool keep = false, done = false, moving = false;
+    bool keep = false, done = false, moving = false, look_only = false;
     std::vector<RoundOut> rounds;
     std::vector<CacheId> failed_at, failed_from;
 };
@@ -253,7 +254,8 @@
 double silence(const Server& server, Micros now);
 const char* complaint(const Router& router, const Server& server, Micros now);
 double crowd(const Router& router, Micros now);
-bool shed(const Router& router, const Held& held, Micros now);
+double fill_crowd(const Router& router, Micros now);
+bool too_large(const Router& router, const Held& held, double crowd);
 bool may_send(const Router& router, const Held& held, const Server& to, Micros now);
 bool may_reject(const Router& router, const Held& held);
 Server* find_server(Router& router, CacheId id);
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -225,10 +225,39 @@
     Held large, small;
     large.sending = 1000 * test_ms;
     small.sending = 100 * test_ms;
-    CHECK_FALSE(shed(r, large, noon));
+    CHECK_FALSE(too_large(r, large, crowd(r, noon)));
     for (int i = 0; i < 12; i++) find_server(r, 1)->in_flight.push_back({9, 0, noon, 0, 500 * test_ms});
-    CHECK(shed(r, large, noon));
-    CHECK_FALSE(shed(r, small, noon));
+    CHECK(too_large(r, large, crowd(r, noon)));
+    CHECK_FALSE(too_large(r, small, crowd(r, noon)));
+}
+
+// Guards against the jam of depot days: fills took seconds at a full link in while hits were quick.
+TEST_CASE("lookups that wait for fills crowd the link in, and a large one then only looks") {
+    auto r = router();
+    for (int i = 0; i < 20; i++) r.traffic[0].sizes.push_back({noon, 100e3 + i * 50e3});
+    find_server(r, 1)->finished = find_server(r, 11)->finished = Samples(10, {noon - test_second, 100e3});
+    CHECK(fill_crowd(r, noon) == 0);
+    find_server(r, 11)->in_flight =
+        std::vector<InFlight>(8, {9, 0, noon - 2 * test_second, 0, 500 * test_ms});
+    CHECK(fill_crowd(r, noon) > 1);
+    auto large = lookup(1);
+    large.kbytes = 5000;
+    auto answer = r.take(large, noon).place(noon);
+    REQUIRE(answer.send);
+    CHECK(answer.send->source == answer.send->cache);
+    CHECK(r.find(1)->ended(end(Outcome::Miss, answer.send->cache), noon).final == Final::Rejected);
+}
+
+TEST_CASE("the size of an object that is not told is learned from its quickest answer") {
+    auto r = router();
+    r.names[77] = {2, true, 300 * test_ms};
+    auto told = lookup(1);
+    told.kbytes = 0;
+    auto handle = r.take(told, noon);
+    CHECK(handle.held.sending == 300 * test_ms);
+    handle.place(noon);
+    handle.ended(end(Outcome::Ok, handle.held.rounds[0].cache, Note::Hit), noon);
+    CHECK(r.names[77].sending == 100 * test_ms);
 }
 
 TEST_CASE("one seed gives one result") {
