--- a/src/control.cpp
+++ b/src/control.cpp
@@ -634,7 +634,7 @@
         if (ok || by_source) sound(*source, now);
         if (ok || by_source || router.notes != NotesTold::All) add(source->verdicts, now, ok ? 0 : 1);
         if (ok || by_source) add(source->first_byte, now, end.waited > 0 ? end.waited : end.lag);
-        if (ok) add(source->finished, now, round.work, many);
+        if (ok) add(source->finished, now, held.sending, many);
     }
     if (source && hit)  // the source was never asked
         std::erase_if(source->spent, [&](auto& s) { return s.at == round.sent && s.value == round.work; });
@@ -664,6 +664,7 @@
         held.failed_at.push_back(round.cache);
     for (auto& other : held.rounds)
         if (other.out) return answer;  // a second copy is still on its way
+    if (held.look_only) return give_up(router, held, now);
     Server* next =
         left_of(held, now) > held.sending && router.credit >= 1 ? pick_cache(router, held, now) : nullptr;
     if (!next) return give_up(router, held, now);
