Judge the caches' crowd by the room that hits used, apart from that of the fills

Cause: the one figure for the location counted stuck fills too, so depots in calm shed hits for a crowd at the link.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -39,7 +39,10 @@
 // Guards.
 constexpr double budget_margin = 0.6;  // for what other routers and the estimate of the link may get wrong
 constexpr double credit_per_answer = 0.15, most_credit = 20;
-constexpr double crowded = 0.7, jammed = 1.3;  // shedding begins and reaches all but the smallest lookups
+// Shares of the room between sending and goal time, from where shedding begins to where all but the smallest
+// go.
+constexpr double crowded = 0.2, jammed = 1.0;
+constexpr double fills_crowded = 0.3, fills_jammed = 1.2;
 constexpr Micros look_every = 200 * ms, tend_every = 100 * ms;
 
 void add(Samples& samples, Micros at, double value, std::size_t most = few) {
@@ -536,50 +539,50 @@
     return Handle{*this, found->second};
 }
 
-// The goal time of the work that is usually asked for: large lookups have longer ones.
-double goal_of_work(const Router& router) {
-    double wanted = 0, asked = 0;
+// What an answer that takes `time`, as the average of the work, has used of the room between the sending time
+// and the goal time: 0 where nothing waits, 1 where the usual answer comes at its goal time.
+double room_used(const Router& router, double time) {
+    double sending = 0, goal = 0, asked = 0;
     for (auto& type : router.traffic)
         for (auto& size : type.sizes) {
-            wanted += size.value * (type.goal + type.goal_stretch * size.value);
+            sending += size.value * size.value;
+            goal += size.value * (type.goal + type.goal_stretch * size.value);
             asked += size.value;
         }
-    return asked > 0 ? wanted / asked : 0;
+    return goal > sending ? std::max(0.0, (time * asked - sending) / (goal - sending)) : 0;
 }
 
-// Rate times time for the whole location: the sending time that is out, over what its caches answer, as
-// measured, within the goal time. Near 1 the usual answer comes at its goal time.
+// How much of its room the usual hit used lately at the location's caches. Fills are left out: they wait for
+// the link, and have a figure of their own.
 double crowd(const Router& router, Micros now) {
-    double out = 0, answered = 0, goal = goal_of_work(router);
-    for (auto& server : router.servers) {
-        if (!is_edge(router, server)) continue;
-        for (auto& flight : server.in_flight) out += flight.work;
-        answered += rate(server.finished, now);
-    }
-    return answered > 0 && goal > 0 ? out / answered / goal : 0;
+    std::vector<double> used;
+    for (auto& server : router.servers)
+        if (is_edge(router, server))
+            for (double value : recent(server.room, now)) used.push_back(value);
+    return used.size() < enough ? 0 : mean(used, 0);
 }
 
-// The same for what is filled through the location's link: of the lookups that name a source, those that are
-// out for longer than a hit takes count whole, the others by the share of misses.
+// Rate times time for what is filled through the location's link: of the lookups that name a source, those
+// that are out for longer than a hit takes count whole, the others by the share of misses.
 double fill_crowd(const Router& router, Micros now) {
-    double out = 0, filled = 0, answered = 0, goal = goal_of_work(router);
+    double out = 0, filled = 0, answered = 0;
     for (auto& server : router.servers)
         (is_edge(router, server) ? answered : filled) += rate(server.finished, now);
-    if (filled <= 0 || answered <= 0 || goal <= 0) return 0;
+    if (filled <= 0 || answered <= 0) return 0;
     double misses = std::min(1.0, filled / answered);
     for (auto& server : router.servers)
         if (!is_edge(router, server))
             for (auto& flight : server.in_flight)
                 out += flight.work * (now - flight.sent > 2 * flight.work + 100 * ms ? 1 : misses);
-    return out / filled / goal;
+    return room_used(router, out / filled);
 }
 
 // Guards against a jam that feeds itself (late answers, clients asking again, caches turning work away),
 // whatever brought it: a jump in arrivals, oversized objects, a flush, a slow origin or lost caches. Each
 // type's largest lookups go first, as one of them costs as much as many others and all are worth the same. It
 // hurts where the crowd would have passed by itself within a goal time.
-bool too_large(const Router& router, const Held& held, double crowd) {
-    double share = std::clamp((jammed - crowd) / (jammed - crowded), 0.05, 1.0);
+bool too_large(const Router& router, const Held& held, double crowd, double from, double to) {
+    double share = std::clamp((to - crowd) / (to - from), 0.05, 1.0);
     if (share == 1) return false;
     auto sizes = all(router.traffic[held.facts.traffic].sizes);
     if (sizes.size() < enough) return false;
@@ -592,8 +595,8 @@
 Answer Handle::place(Micros now) {
     held.keep = keep_or_pass(router, held.facts, now);
     if (held.facts.kbytes > 0 && held.sending > left_of(held, now)) return give_up(router, held, now);
-    if (too_large(router, held, crowd(router, now))) return give_up(router, held, now);
-    held.look_only = too_large(router, held, fill_crowd(router, now));
+    if (too_large(router, held, crowd(router, now), crowded, jammed)) return give_up(router, held, now);
+    held.look_only = too_large(router, held, fill_crowd(router, now), fills_crowded, fills_jammed);
     Server* cache = pick_cache(router, held, now);
     if (!cache && router.direct) {
         CacheId source = pick_source(router, held, now);
@@ -627,7 +630,11 @@
         }
         if (end.outcome == Outcome::Unconnected && cache->unreached_at == 0) cache->unreached_at = now;
         if (!by_source && end.outcome != Outcome::Miss) add(cache->verdicts, now, ok ? 0 : 1);
-        if (hit) add(cache->slowness, now, end.lag / std::max<double>(held.sending, 10 * ms));
+        if (hit) {
+            add(cache->slowness, now, end.lag / std::max<double>(held.sending, 10 * ms));
+            add(cache->room, now,
+                (end.lag - held.sending) / std::max<double>(held.goal - held.taken - held.sending, ms));
+        }
         if (ok) add(cache->finished, now, held.sending, many);
     }
     if (source && !ours && !hit) {
--- a/src/control.hpp
+++ b/src/control.hpp
@@ -147,7 +147,8 @@
     std::vector<InFlight> in_flight;
     Samples gaps;        // between answers, while something was due
     Samples verdicts;    // 1 a failure, 0 a good answer
-    Samples slowness;    // time taken over time expected
+    Samples slowness;    // time taken by hits over their sending time
+    Samples room;        // what hits used of the room between sending and goal time
     Samples finished;    // sending time answered
     Samples first_byte;  // of a source
     Samples spent;       // sending time sent while cold
@@ -255,7 +256,7 @@
 const char* complaint(const Router& router, const Server& server, Micros now);
 double crowd(const Router& router, Micros now);
 double fill_crowd(const Router& router, Micros now);
-bool too_large(const Router& router, const Held& held, double crowd);
+bool too_large(const Router& router, const Held& held, double crowd, double from, double to);
 bool may_send(const Router& router, const Held& held, const Server& to, Micros now);
 bool may_reject(const Router& router, const Held& held);
 Server* find_server(Router& router, CacheId id);
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -220,15 +220,13 @@
 TEST_CASE("in a crowd the largest lookups are shed and the small ones are not") {
     auto r = router();
     for (int i = 0; i < 20; i++) r.traffic[0].sizes.push_back({noon, 100e3 + i * 50e3});
-    for (CacheId id : {1, 2, 3})
-        for (int i = 0; i < 10; i++) find_server(r, id)->finished.push_back({noon - test_second, 100e3});
     Held large, small;
     large.sending = 1000 * test_ms;
     small.sending = 100 * test_ms;
-    CHECK_FALSE(too_large(r, large, crowd(r, noon)));
-    for (int i = 0; i < 12; i++) find_server(r, 1)->in_flight.push_back({9, 0, noon, 0, 500 * test_ms});
-    CHECK(too_large(r, large, crowd(r, noon)));
-    CHECK_FALSE(too_large(r, small, crowd(r, noon)));
+    CHECK_FALSE(too_large(r, large, crowd(r, noon), 0.5, 1.0));
+    find_server(r, 1)->room = Samples(8, {noon, 0.8});
+    CHECK(too_large(r, large, crowd(r, noon), 0.5, 1.0));
+    CHECK_FALSE(too_large(r, small, crowd(r, noon), 0.5, 1.0));
 }
 
 // Guards against the jam of depot days: fills took seconds at a full link in while hits were quick.
