Let what a cold cache has answered raise its budget, from a small first guess

What a cold server has answered since its start is within what it can do, so a multiple of that is inside the rule. It also covers restarted routers beside one crashed cache. It could hurt where a cold cache's answers come from before it slowed.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -38,6 +38,7 @@
 
 // Guards.
 constexpr double budget_margin = 0.6;  // for what other routers and the estimate of the link may get wrong
+constexpr double least_link = 2;       // transfers at full pace, where nothing is known of a link
 constexpr double credit_per_answer = 0.15, most_credit = 20;
 // Shares of the room between sending and goal time, from where shedding begins to where all but the smallest
 // go.
@@ -406,26 +407,29 @@
 
 // A cold server may be asked, by all routers together and within any window, for a multiple of what it can
 // do; this router takes its share of that, less a margin. Where the link is not told, what this router has
-// seen its like carry stands for its share of the link.
+// seen the server and its like carry stands for its share of the link. What the server has answered since its
+// start is always within what it can do, so a router that has just started itself finds its way up from a
+// small first guess instead of shutting a whole location out for good.
 bool within_cold_budget(const Router& router, const Server& server, double work, Micros now) {
     if (!is_cold(router, server, now)) return true;
     bool parent = is_parent(router, server);
+    double sharers = parent ? router.parent_sharers : router.edge_sharers;
     double from = parent ? router.parent_cold_from : router.cold_from;
     Micros warm_after = parent ? router.parent_cold : router.cold;
     double age = std::max<double>(0, now - router.cold_window - cold_since(server));
     double share = from + (1 - from) * age / warm_after;
-    double link = 0;
-    if (router.ratings_are_links) {
-        link = server.rating / (parent ? router.parent_sharers : router.edge_sharers);
-    } else {
-        std::vector<double> seen;
-        for (auto& peer : router.servers)
-            if (same_role(router, peer, server) && peer.finished.size() >= enough)
-                seen.push_back(rate(peer.finished, peer.finished.back().at));
-        link = mean(seen, 0);
-    }
-    double allowed =
-        (parent ? router.parent_multiple : router.cold_multiple) * share * link * router.cold_window;
+    double link = (router.ratings_are_links ? server.rating : least_link) / sharers;
+    std::vector<double> seen;
+    for (auto& peer : router.servers)
+        if (same_role(router, peer, server) && peer.finished.size() >= enough)
+            seen.push_back(rate(peer.finished, peer.finished.back().at));
+    if (!router.ratings_are_links) link = std::max(link, mean(seen, 0));
+    double answered = 0;
+    Micros since = std::max(cold_since(server), now - router.cold_window);
+    for (auto& sample : server.finished)
+        if (sample.at > since) answered += sample.value;
+    double multiple = parent ? router.parent_multiple : router.cold_multiple;
+    double allowed = multiple * std::max(share * link * router.cold_window, answered);
     double spent = work;
     for (auto& sample : server.spent)
         if (now - sample.at < router.cold_window + 100 * ms) spent += sample.value;
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -187,6 +187,20 @@
     CHECK_FALSE(within_cold_budget(r, parent, 100e3, noon));
 }
 
+// Guards against the lost office of calcul-rate's big-2: its restarted router knew no rate and sent nothing
+// again.
+TEST_CASE("a restarted router that knows no rates finds its way up at cold caches") {
+    auto r = router();
+    r.traffic[0].sizes = Samples(9, {noon, 100e3});
+    auto& cold = *find_server(r, 1);
+    cold.started = noon;
+    CHECK(within_cold_budget(r, cold, 100e3, noon));
+    cold.spent = {{noon, 300e3}};
+    CHECK_FALSE(within_cold_budget(r, cold, 100e3, noon + 900 * test_ms));
+    cold.finished = {{noon + 100 * test_ms, 400e3}};
+    CHECK(within_cold_budget(r, cold, 100e3, noon + 900 * test_ms));
+}
+
 TEST_CASE("rule 5: a purge of the object or its group bounds the age that will do") {
     auto r = router();
     r.purged(0, 3, 40 * test_ms, noon);
