Smooth first-byte times over more answers, less the sending time

Now 64 samples of up to 20 s, and untold waits are the latency less the sending time. It hurts where a parent slows down at once: the mean follows in seconds.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -25,7 +25,7 @@
 
 // Measurements: enough samples to tell a trend, few enough that a recovery shows within seconds.
 constexpr std::size_t few = 16, many = 64;
-constexpr Micros sample_life = 5 * second;
+constexpr Micros sample_life = 5 * second, first_byte_life = 20 * second;
 
 // Judging servers.
 constexpr double unusual_silence = 8;  // mean gaps; an exponential gap is that long once in 3,000 times
@@ -51,10 +51,10 @@
     if (samples.size() > most) samples.pop_front();
 }
 
-std::vector<double> recent(const Samples& samples, Micros now) {
+std::vector<double> recent(const Samples& samples, Micros now, Micros life = sample_life) {
     std::vector<double> values;
     for (auto& sample : samples)
-        if (now - sample.at < sample_life) values.push_back(sample.value);
+        if (now - sample.at < life) values.push_back(sample.value);
     return values;
 }
 
@@ -444,7 +444,8 @@
     auto parents = in_hash_order(router, held.facts.object, is_parent);
     std::vector<double> heard;
     for (auto* parent : parents)
-        if (auto times = recent(parent->first_byte, now); !times.empty()) heard.push_back(mean(times, 0));
+        if (auto times = recent(parent->first_byte, now, first_byte_life); !times.empty())
+            heard.push_back(mean(times, 0));
     double average = mean(heard, 0);
     if (parents.size() > 2) parents.resize(2);
     Server* best = nullptr;
@@ -455,7 +456,7 @@
             if (on_trial(*parent, now)) return parent->id;
             continue;
         }
-        double time = mean(recent(parent->first_byte, now), average);
+        double time = mean(recent(parent->first_byte, now, first_byte_life), average);
         if (!best || time < best_time) {
             best = parent;
             best_time = time;
@@ -644,7 +645,8 @@
     if (source && !ours && !hit) {
         if (ok || by_source) sound(*source, now);
         if (ok || by_source || router.notes != NotesTold::All) add(source->verdicts, now, ok ? 0 : 1);
-        if (ok || by_source) add(source->first_byte, now, end.waited > 0 ? end.waited : end.lag);
+        Micros first = end.waited > 0 ? end.waited : std::max<Micros>(0, end.lag - held.sending);
+        if (ok || by_source) add(source->first_byte, now, first, many);
         if (ok) add(source->finished, now, held.sending, many);
     }
     if (source && hit)  // the source was never asked
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -72,6 +72,22 @@
     CHECK(pick_source(r, held, noon) == 12);
 }
 
+// Guards against sources that change with the size of the last answers: untold first-byte times are the lag
+// less the sending time.
+TEST_CASE("where the wait is not told, a source's first byte is the lag less the sending time") {
+    auto r = router();
+    auto handle = r.take(lookup(1), noon);
+    auto sent = handle.place(noon);
+    handle.ended(end(Outcome::Ok, sent.send->cache, Note::Filled), noon);
+    CHECK(find_server(r, sent.send->source)->first_byte.back().value == 0);
+    auto other = r.take(lookup(2), noon);
+    sent = other.place(noon);
+    auto late = end(Outcome::Ok, sent.send->cache, Note::Filled);
+    late.lag = 140 * test_ms;
+    other.ended(late, noon);
+    CHECK(find_server(r, sent.send->source)->first_byte.back().value == 40e3);
+}
+
 TEST_CASE("one parent serves alone and none means the origin") {
     auto r = router();
     Held held;
