Allow for chance when few fills are out, and let them crowd the link less

The time out is now cut by one over the root of the number of fills, and look-only begins at 0.1 of the room instead of 0.3.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -43,7 +43,7 @@
 // Shares of the room between sending and goal time, from where shedding begins to where all but the smallest
 // go.
 constexpr double crowded = 0.2, jammed = 1.0;
-constexpr double fills_crowded = 0.3, fills_jammed = 1.2;
+constexpr double fills_crowded = 0.1, fills_jammed = 0.8;
 constexpr Micros look_every = 200 * ms, tend_every = 100 * ms;
 
 void add(Samples& samples, Micros at, double value, std::size_t most = few) {
@@ -570,16 +570,21 @@
 // Rate times time for what is filled through the location's link: of the lookups that name a source, those
 // that are out for longer than a hit takes count whole, the others by the share of misses.
 double fill_crowd(const Router& router, Micros now) {
-    double out = 0, filled = 0, answered = 0;
+    double out = 0, count = 0, filled = 0, answered = 0;
     for (auto& server : router.servers)
         (is_edge(router, server) ? answered : filled) += rate(server.finished, now);
     if (filled <= 0 || answered <= 0) return 0;
     double misses = std::min(1.0, filled / answered);
     for (auto& server : router.servers)
         if (!is_edge(router, server))
-            for (auto& flight : server.in_flight)
-                out += flight.work * (now - flight.sent > 2 * flight.work + 100 * ms ? 1 : misses);
-    return room_used(router, out / filled);
+            for (auto& flight : server.in_flight) {
+                double likely = now - flight.sent > 2 * flight.work + 100 * ms ? 1 : misses;
+                out += flight.work * likely;
+                count += likely;
+            }
+    if (count <= 1) return 0;
+    return room_used(router,
+                     (1 - 1 / std::sqrt(count)) * out / filled);  // a few large ones are chance, not a crowd
 }
 
 // Guards against a jam that feeds itself (late answers, clients asking again, caches turning work away),
