Where notes tell whose fault a fill was, do not let two failing parents excuse each other

Told from the caches by the notes and by every cache failing alike with that one source. With such notes the origin is the alternative now. It could hurt where a parent fails because of the origin and the notes do not say so.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -382,23 +382,24 @@
 }
 
 // What speaks against a server now, nullptr if nothing: each sign is measured against its peers, so that
-// trouble which all of them share (a slow origin, a crowd) is not laid at the door of one.
+// trouble which all of them share (a slow origin, a crowd) is not laid at the door of one. Only where the
+// notes tell a parent's own failures from the origin's do parents not excuse each other: then the origin can
+// serve instead.
 const char* complaint(const Router& router, const Server& server, Micros now) {
     if (server.unreached_at > 0) return "unreachable";
     if (silence(server, now) > unusual_silence) return "silent";
-    auto verdicts = recent(server.verdicts, now);
-    auto slowness = recent(server.slowness, now);
+    auto verdicts = recent(server.verdicts, now), slowness = recent(server.slowness, now);
     std::vector<double> peers_bad, peers_slow;
+    bool own_fault = is_parent(router, server) && router.notes == NotesTold::All;
     for (auto& peer : router.servers) {
-        if (peer.id == server.id || peer.listed != Listed::Ready || !same_role(router, peer, server))
-            continue;
+        if (peer.id == server.id || peer.listed != Listed::Ready) continue;
+        if (!(own_fault ? is_origin(router, peer) : same_role(router, peer, server))) continue;
         auto bad = recent(peer.verdicts, now), slow = recent(peer.slowness, now);
         if (bad.size() >= enough) peers_bad.push_back(mean(bad, 0));
         if (slow.size() >= enough) peers_slow.push_back(median(slow, 1));
     }
-    if (verdicts.size() >= enough &&
-        mean(verdicts, 0) > std::max(bad_share, far_worse * median(peers_bad, 0)))
-        return "failing";
+    double usual = far_worse * median(peers_bad, 0);
+    if (verdicts.size() >= enough && mean(verdicts, 0) > std::max(bad_share, usual)) return "failing";
     if (slowness.size() >= enough && !peers_slow.empty() &&
         median(slowness, 1) > far_worse * std::max(1.0, median(peers_slow, 1)))
         return "slow";
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -88,6 +88,20 @@
     CHECK(find_server(r, sent.send->source)->first_byte.back().value == 40e3);
 }
 
+// Guards against depot-media's big-1: one parent lost and the other failing fast, each excused by the other.
+TEST_CASE("two failing parents do not excuse each other while the origin answers") {
+    auto r = router();
+    Held held;
+    held.facts = lookup(1);
+    for (CacheId id : {11, 12}) {
+        find_server(r, id)->verdicts = Samples(8, {noon, 1});
+        find_server(r, id)->last_trial = noon;
+    }
+    CHECK(pick_source(r, held, noon) == 20);
+    find_server(r, 20)->verdicts = Samples(8, {noon, 1});
+    CHECK(pick_source(r, held, noon) != 20);
+}
+
 TEST_CASE("one parent serves alone and none means the origin") {
     auto r = router();
     Held held;
