Take a size that is not known for one of the last seen, drawn by chance

Lookups of unknown size counted as the mean, which lies above most sizes, so all of them were shed as soon as a quarter of the sizes were. Now such a lookup takes a drawn size, and shedding takes its share of them.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -533,7 +533,11 @@
     } else if (auto name = names.find(facts.object); name != names.end() && name->second.sending > 0) {
         lookup.sending = name->second.sending;
     } else {
-        lookup.sending = static_cast<Micros>(mean_sending(type));
+        // Nothing is known of its size: one of the last seen stands for it, so that shedding takes a share of
+        // such lookups and not all or none.
+        lookup.sending = type.sizes.empty()
+                             ? type.goal
+                             : static_cast<Micros>(type.sizes[chance.next() % type.sizes.size()].value);
     }
     lookup.goal = now + type.goal + static_cast<Micros>(type.goal_stretch * lookup.sending);
     return {*this, lookup};
