Leave caches out of reach to trials and probes, and shed direct lookups like fills

It also covers a cut network; it hurts where connections fail at a cache's limit and nothing else is left.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -480,7 +480,7 @@
         if (holds(held.failed_at, cache->id)) continue;
         if (complaint(router, *cache, now)) {
             if (held.rounds.empty() && on_trial(*cache, now)) return cache;
-            if (!last) last = cache;
+            if (!last && cache->unreached_at == 0) last = cache;
             continue;
         }
         double crowd = cache->in_flight.size() / most_in_flight(router, *cache);
@@ -578,8 +578,8 @@
     double out = 0, count = 0, filled = 0, answered = 0;
     for (auto& server : router.servers)
         (is_edge(router, server) ? answered : filled) += rate(server.finished, now);
-    if (filled <= 0 || answered <= 0) return 0;
-    double misses = std::min(1.0, filled / answered);
+    if (filled <= 0) return 0;
+    double misses = answered > filled ? filled / answered : 1;
     for (auto& server : router.servers)
         if (!is_edge(router, server))
             for (auto& flight : server.in_flight) {
@@ -613,7 +613,7 @@
     if (too_large(router, held, crowd(router, now), crowded, jammed)) return give_up(router, held, now);
     held.look_only = too_large(router, held, fill_crowd(router, now), fills_crowded, fills_jammed);
     Server* cache = pick_cache(router, held, now);
-    if (!cache && router.direct) {
+    if (!cache && router.direct && !held.look_only) {  // straight to the source, shed like a fill
         CacheId source = pick_source(router, held, now);
         cache = source ? find_server(router, source) : nullptr;
     }
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -102,6 +102,16 @@
     CHECK(pick_source(r, held, noon) != 20);
 }
 
+// Guards against incident i8d9138: a school whose caches had died went on trying to reach each of them.
+TEST_CASE("caches that cannot be reached get trials and nothing else") {
+    auto r = router();
+    Held held;
+    held.facts = lookup(1);
+    for (CacheId id : {1, 2, 3}) find_server(r, id)->unreached_at = find_server(r, id)->last_trial = noon;
+    CHECK_FALSE(pick_cache(r, held, noon + 100 * test_ms));
+    CHECK(pick_cache(r, held, noon + test_second));
+}
+
 TEST_CASE("one parent serves alone and none means the origin") {
     auto r = router();
     Held held;
