--- a/src/control.cpp
+++ b/src/control.cpp
@@ -176,9 +176,11 @@
 Micros left_of(const Held& held, Micros now) { return held.facts.due - now; }
 
 Answer transmit(Router& router, Held& held, Server& cache, Micros now) {
-    // Straight at a parent or the origin, the source is that server itself; anything else is a fault.
-    bool fill = is_edge(router, cache) && !held.look_only;
-    CacheId source_id = fill ? pick_source(router, held, now) : cache.id;
+    // Straight at a parent only that parent itself or the origin may be named; anything else is a fault.
+    Server* origin = pick_parent_or_origin(router, is_origin);
+    CacheId source_id = cache.id;
+    if (is_edge(router, cache) && !held.look_only) source_id = pick_source(router, held, now);
+    if (is_parent(router, cache) && origin) source_id = origin->id;
     auto& type = router.traffic[held.facts.traffic];
     double work = mean_sending(type);
     auto expected = static_cast<Micros>(held.sending * median(all(type.spread), 1.0));
