Bound what a cache holds in flight at rate times goal time, not one and a half of it

Cause: hits came late at caches that hot objects had filled up while their neighbours had room; the bound let a queue of one and a half goal times grow before the next cache in hash order served.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -33,7 +33,7 @@
 constexpr double bad_share = 0.3, far_worse = 2.5;  // failing or slow beside its peers
 constexpr std::size_t enough = 6;
 constexpr Micros trial_every = 500 * ms;
-constexpr double in_flight_room = 1.5;
+constexpr double in_flight_room = 1.0;
 constexpr double least_in_flight = 6;
 
 // Guards.
