Leave lookups that wait for a fill out of a cache's bound

Cause: with a slow origin fills held the bound without using the cache, so hits went to caches that lack the object. Told from a crowded cache by hits being quick. A lookup out for over a second past its sending time no longer counts. It also covers lost parents and a full link in; it hurts a cache that is so slow itself that its hits take that long, which the complaint about slowness answers.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -34,6 +34,7 @@
 constexpr std::size_t enough = 6;
 constexpr Micros trial_every = 500 * ms;
 constexpr double in_flight_room = 1.0;
+constexpr Micros flight_wait = second;  // past its sending time by more, a lookup waits for its fill
 constexpr double least_in_flight = 6;
 
 // Guards.
@@ -485,7 +486,9 @@
             if (!last && cache->unreached_at == 0) last = cache;
             continue;
         }
-        double crowd = cache->in_flight.size() / most_in_flight(router, *cache);
+        double young = 0;  // a fill that waits for its source holds no room at the cache
+        for (auto& flight : cache->in_flight) young += now - flight.sent < flight.work + flight_wait;
+        double crowd = young / most_in_flight(router, *cache);
         if (crowd < 1) return cache;
         if (!least || crowd < least_crowd) {
             least = cache;
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -112,6 +112,20 @@
     CHECK(pick_cache(r, held, noon + test_second));
 }
 
+// Guards against hot objects that fill up one cache while its neighbours have room, and against a slow origin
+// whose waiting fills would look like such a crowd.
+TEST_CASE("a cache that holds rate times time gives way, but not for lookups that wait for a fill") {
+    auto r = router();
+    Held held;
+    held.facts = lookup(1);
+    auto* first = pick_cache(r, held, noon);
+    first->in_flight = std::vector<InFlight>(8, {9, 0, noon, 0, 100 * test_ms});
+    CHECK(pick_cache(r, held, noon) != first);
+    first->in_flight =
+        std::vector<InFlight>(8, {9, 0, noon - 2 * test_second, 9 * test_second, 100 * test_ms});
+    CHECK(pick_cache(r, held, noon) == first);
+}
+
 TEST_CASE("one parent serves alone and none means the origin") {
     auto r = router();
     Held held;
