Measure the fills' crowd for each traffic type by itself

Told from a full link in by large fills being in time. It hurts where one type alone is too rare to measure, as it then counts as no crowd.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -187,7 +187,7 @@
     auto expected = static_cast<Micros>(held.sending * median(all(type.spread), 1.0));
     int round = static_cast<int>(held.rounds.size());
     held.rounds.push_back({cache.id, source_id, now, static_cast<Micros>(work)});
-    InFlight flight{held.facts.id, round, now, expected, held.sending};
+    InFlight flight{held.facts.id, round, held.facts.traffic, now, expected, held.sending};
     cache.in_flight.push_back(flight);
     if (is_cold(router, cache, now)) add(cache.spent, now, work, 1024);
     if (Server* source = find_server(router, source_id); source && source != &cache) {
@@ -260,6 +260,8 @@
                            t.stream,
                            t.write,
                            {},
+                           {},
+                           {},
                            {}});
     edge_sharers = std::max(1, site.routers_by_zone.at(site.zone));
     parent_sharers = std::max(1, site.routers);
@@ -556,14 +558,13 @@
 
 // What an answer that takes `time`, as the average of the work, has used of the room between the sending time
 // and the goal time: 0 where nothing waits, 1 where the usual answer comes at its goal time.
-double room_used(const Router& router, double time) {
+double room_used(const Traffic& type, double time) {
     double sending = 0, goal = 0, asked = 0;
-    for (auto& type : router.traffic)
-        for (auto& size : type.sizes) {
-            sending += size.value * size.value;
-            goal += size.value * (type.goal + type.goal_stretch * size.value);
-            asked += size.value;
-        }
+    for (auto& size : type.sizes) {
+        sending += size.value * size.value;
+        goal += size.value * (type.goal + type.goal_stretch * size.value);
+        asked += size.value;
+    }
     return goal > sending ? std::max(0.0, (time * asked - sending) / (goal - sending)) : 0;
 }
 
@@ -577,23 +578,24 @@
     return used.size() < enough ? 0 : mean(used, 0);
 }
 
-// Rate times time for what is filled through the location's link: of the lookups that name a source, those
-// that are out for longer than a hit takes count whole, the others by the share of misses.
-double fill_crowd(const Router& router, Micros now) {
-    double out = 0, count = 0, filled = 0, answered = 0;
-    for (auto& server : router.servers)
-        (is_edge(router, server) ? answered : filled) += rate(server.finished, now);
+// Rate times time for what a traffic type fills through the location's link: of the lookups that name a
+// source, those that are out for longer than a hit takes count whole, the others by the share of misses. Each
+// type for itself: a slow origin makes small lookups late long before large ones.
+double fill_crowd(const Router& router, int traffic, Micros now) {
+    auto& type = router.traffic[traffic];
+    double filled = rate(type.filled, now), answered = rate(type.answered, now);
     if (filled <= 0) return 0;
-    double misses = answered > filled ? filled / answered : 1;
+    double out = 0, count = 0, misses = answered > filled ? filled / answered : 1;
     for (auto& server : router.servers)
         if (!is_edge(router, server))
             for (auto& flight : server.in_flight) {
+                if (flight.traffic != traffic) continue;
                 double likely = now - flight.sent > 2 * flight.work + 100 * ms ? 1 : misses;
                 out += flight.work * likely;
                 count += likely;
             }
     if (count <= 1) return 0;
-    return room_used(router,
+    return room_used(type,
                      (1 - 1 / std::sqrt(count)) * out / filled);  // a few large ones are chance, not a crowd
 }
 
@@ -616,7 +618,8 @@
     held.keep = keep_or_pass(router, held.facts, now);
     if (held.facts.kbytes > 0 && held.sending > left_of(held, now)) return give_up(router, held, now);
     if (too_large(router, held, crowd(router, now), crowded, jammed)) return give_up(router, held, now);
-    held.look_only = too_large(router, held, fill_crowd(router, now), fills_crowded, fills_jammed);
+    held.look_only =
+        too_large(router, held, fill_crowd(router, held.facts.traffic, now), fills_crowded, fills_jammed);
     Server* cache = pick_cache(router, held, now);
     if (!cache && router.direct && !held.look_only) {  // straight to the source, shed like a fill
         CacheId source = pick_source(router, held, now);
@@ -663,12 +666,14 @@
         Micros first = end.waited > 0 ? end.waited : std::max<Micros>(0, end.lag - held.sending);
         if (ok || by_source) add(source->first_byte, now, first, many);
         if (ok) add(source->finished, now, held.sending, many);
+        if (ok) add(type.filled, now, held.sending, many);
     }
     if (source && hit)  // the source was never asked
         std::erase_if(source->spent, [&](auto& s) { return s.at == round.sent && s.value == round.work; });
     land(cache, held.facts.id, end.round);
     land(source, held.facts.id, end.round);
     if (ok) {
+        add(type.answered, now, held.sending, many);
         add(type.spread, now, end.lag / std::max<double>(held.sending, 10 * ms), many);
         if (held.facts.kbytes <= 0) {  // parts of an object are alike, so the quickest answer tells the size
             auto name = router.names.find(held.facts.object);
--- a/src/control.hpp
+++ b/src/control.hpp
@@ -129,7 +129,7 @@
 
 struct InFlight {
     LookupId lookup;
-    int round;
+    int round, traffic;
     Micros sent, expected, work;
 };
 
@@ -180,8 +180,9 @@
     Effect effect;
     Group group;
     bool stream, write;
-    Samples sizes;   // sending times, told or else seen
-    Samples spread;  // time taken over sending time
+    Samples sizes;             // sending times, told or else seen
+    Samples spread;            // time taken over sending time
+    Samples answered, filled;  // sending times
 };
 
 struct Purge {
@@ -255,7 +256,7 @@
 double silence(const Server& server, Micros now);
 const char* complaint(const Router& router, const Server& server, Micros now);
 double crowd(const Router& router, Micros now);
-double fill_crowd(const Router& router, Micros now);
+double fill_crowd(const Router& router, int traffic, Micros now);
 bool too_large(const Router& router, const Held& held, double crowd, double from, double to);
 bool may_send(const Router& router, const Held& held, const Server& to, Micros now);
 bool may_reject(const Router& router, const Held& held);
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -119,10 +119,10 @@
     Held held;
     held.facts = lookup(1);
     auto* first = pick_cache(r, held, noon);
-    first->in_flight = std::vector<InFlight>(8, {9, 0, noon, 0, 100 * test_ms});
+    first->in_flight = std::vector<InFlight>(8, {9, 0, 0, noon, 0, 100 * test_ms});
     CHECK(pick_cache(r, held, noon) != first);
     first->in_flight =
-        std::vector<InFlight>(8, {9, 0, noon - 2 * test_second, 9 * test_second, 100 * test_ms});
+        std::vector<InFlight>(8, {9, 0, 0, noon - 2 * test_second, 9 * test_second, 100 * test_ms});
     CHECK(pick_cache(r, held, noon) == first);
 }
 
@@ -268,7 +268,7 @@
     Server server;
     server.gaps = {{0, 100e3}, {0, 100e3}, {0, 100e3}, {0, 100e3}};
     CHECK(silence(server, noon) == 0);
-    server.in_flight = {{1, 0, noon, 200 * test_ms, 0}};
+    server.in_flight = {{1, 0, 0, noon, 200 * test_ms, 0}};
     CHECK(silence(server, noon + 100 * test_ms) == 0);
     CHECK(silence(server, noon + 700 * test_ms) == doctest::Approx(5));
 }
@@ -301,11 +301,15 @@
 TEST_CASE("lookups that wait for fills crowd the link in, and a large one then only looks") {
     auto r = router();
     for (int i = 0; i < 20; i++) r.traffic[0].sizes.push_back({noon, 100e3 + i * 50e3});
-    find_server(r, 1)->finished = find_server(r, 11)->finished = Samples(10, {noon - test_second, 100e3});
-    CHECK(fill_crowd(r, noon) == 0);
+    r.traffic[0].answered = r.traffic[0].filled = Samples(10, {noon - test_second, 100e3});
+    CHECK(fill_crowd(r, 0, noon) == 0);
     find_server(r, 11)->in_flight =
-        std::vector<InFlight>(8, {9, 0, noon - 2 * test_second, 0, 500 * test_ms});
-    CHECK(fill_crowd(r, noon) > 1);
+        std::vector<InFlight>(8, {9, 0, 0, noon - 2 * test_second, 0, 500 * test_ms});
+    CHECK(fill_crowd(r, 0, noon) > 1);
+    auto out = find_server(r, 11)->in_flight;
+    for (auto& flight : find_server(r, 11)->in_flight) flight.traffic = 1;  // each traffic type for itself
+    CHECK(fill_crowd(r, 0, noon) == 0);
+    find_server(r, 11)->in_flight = out;
     auto large = lookup(1);
     large.kbytes = 5000;
     auto answer = r.take(large, noon).place(noon);
