--- a/src/control.cpp
+++ b/src/control.cpp
@@ -248,21 +248,8 @@
 
 Router::Router(const SiteFacts& site, std::uint64_t seed) {
     for (auto& t : site.traffic)
-        traffic.push_back({t.goal,
-                           t.limit,
-                           t.fresh,
-                           t.grace,
-                           t.window,
-                           t.goal_stretch,
-                           t.value,
-                           t.effect,
-                           t.group,
-                           t.stream,
-                           t.write,
-                           {},
-                           {},
-                           {},
-                           {}});
+        traffic.push_back(
+            {t.goal, t.fresh, t.window, t.goal_stretch, t.effect, t.group, t.write, {}, {}, {}, {}});
     edge_sharers = std::max(1, site.routers_by_zone.at(site.zone));
     parent_sharers = std::max(1, site.routers);
     p = std::clamp(whole_p / edge_sharers, least_p, most_p);
@@ -286,7 +273,6 @@
     cold_window = site.cold_window;
     parent_cold = site.parent_cold;
     purge_done = site.purge_done;
-    connect_timeout = site.connect_timeout;
     most_retry_after = site.retry_after ? site.most_retry_after : 0;
     want_list = site.list_must_be_asked;
     credit = most_credit / 2;
--- a/src/control.hpp
+++ b/src/control.hpp
@@ -39,26 +39,25 @@
 
 // What the start-up message states of one traffic type.
 struct TrafficFacts {
-    Micros goal, limit;
-    double goal_stretch, value, late_value;
+    Micros goal;
+    double goal_stretch;
     Effect effect;
     Group group;
-    Micros window, fresh, grace;
-    bool stream, write;
+    Micros window, fresh;
+    bool write;
 };
 
 // What the start-up message states of the site; read once, by Router's constructor.
 struct SiteFacts {
     std::vector<TrafficFacts> traffic;
     int routers, zone, parent_kind, origin_kind, transmissions_cap;
-    std::vector<int> routers_by_zone, hub_of;
-    bool second_copies, withdraw, probes, peers, retry_after, joins, direct, ratings_are_links;
+    std::vector<int> routers_by_zone;
+    bool second_copies, withdraw, probes, retry_after, joins, direct, ratings_are_links;
     NotesTold notes;
     double kb_per_s;
-    Micros connect_timeout, most_retry_after, drain_grace, purge_done;
-    double cold_from, cold_multiple, parent_cold_from, parent_multiple, origin_multiple;
-    Micros cold, cold_window, parent_cold, origin_window;
-    std::vector<std::string> report_fields;
+    Micros most_retry_after, purge_done;
+    double cold_from, cold_multiple, parent_cold_from, parent_multiple;
+    Micros cold, cold_window, parent_cold;
     bool list_must_be_asked;
 };
 
@@ -175,11 +174,11 @@
 };
 
 struct Traffic {
-    Micros goal, limit, fresh, grace, window;
-    double goal_stretch, value;
+    Micros goal, fresh, window;
+    double goal_stretch;
     Effect effect;
     Group group;
-    bool stream, write;
+    bool write;
     Samples sizes;             // sending times, told or else seen
     Samples spread;            // time taken over sending time
     Samples answered, filled;  // sending times
@@ -225,7 +224,7 @@
     // Derived figures.
     std::vector<Traffic> traffic;
     double p = 1, kb_per_us = 0;
-    int zone = 0, parent_kind = -1, origin_kind = -1, transmissions_cap = 1, origin_cell = 0;
+    int zone = 0, parent_kind = -1, origin_kind = -1, transmissions_cap = 1;
     bool second_copies = false, withdraw = false, probes = false, joins = false, direct = false;
     bool ratings_are_links = false;
     NotesTold notes = NotesTold::None;
--- a/src/drill/boot.cpp
+++ b/src/drill/boot.cpp
@@ -21,19 +21,14 @@
 TrafficFacts read_traffic(const json& grade, const json& family, std::size_t i) {
     TrafficFacts t{};
     t.goal = grade.at("promise").get<Micros>();
-    t.limit = grade.at("deadline").get<Micros>();
     t.goal_stretch = grade.value("aim_stretch", 0.0);
-    t.value = grade.at("importance").get<double>();
-    t.late_value = grade.value("late_value", 0.0);
     t.effect = word<Effect>(
         grade.at("effect"),
         {{"retryable", Effect::Rerunnable}, {"dedup", Effect::Ticketed}, {"fragile", Effect::Exclusive}});
     t.group = word<Group>(grade.at("dedup_scope"),
                           {{"all", Group::All}, {"zone", Group::Zone}, {"cell", Group::Cell}});
     t.window = grade.at("key_ttl").get<Micros>();
-    t.stream = grade.value("stream", false);
     t.fresh = family.at("fresh_for").at(i).get<Micros>();
-    t.grace = family.at("grace_for").at(i).get<Micros>();
     t.write = family.at("pass_on").at(i).get<bool>();
     return t;
 }
@@ -56,11 +51,9 @@
         site.origin_kind = family.at("master_kind").get<int>();
         site.transmissions_cap = limits.at("attempts_cap").get<int>();
         site.routers_by_zone = family.at("count_by_zone").get<std::vector<int>>();
-        site.hub_of = family.at("hub_of").get<std::vector<int>>();
         site.second_copies = limits.at("second_copies").get<bool>();
         site.withdraw = limits.at("cancel").get<bool>();
         site.probes = limits.at("probes").get<bool>();
-        site.peers = limits.at("peers").get<bool>();
         site.retry_after = limits.at("retry_after").get<bool>();
         site.joins = family.at("can_join").get<bool>();
         site.direct = family.at("direct").get<bool>();
@@ -69,9 +62,7 @@
             word<NotesTold>(family.at("notes_given"),
                             {{"all", NotesTold::All}, {"hit", NotesTold::Hit}, {"off", NotesTold::None}});
         site.kb_per_s = family.at("client_kb_per_s").get<double>();
-        site.connect_timeout = limits.at("connect_timeout").get<Micros>();
         site.most_retry_after = limits.at("max_retry_after").get<Micros>();
-        site.drain_grace = safety.at("drain_grace").get<Micros>();
         site.purge_done = family.at("purge_done").get<Micros>();
         site.cold_from = safety.at("cold_from").get<double>();
         site.cold_multiple = safety.at("fall_multiple").get<double>();
@@ -80,9 +71,6 @@
         site.parent_cold_from = family.at("parent_cold_from").get<double>();
         site.parent_multiple = family.at("parent_limit_factor").get<double>();
         site.parent_cold = family.at("parent_cold").get<Micros>();
-        site.origin_multiple = family.at("origin_stops_at").get<double>();
-        site.origin_window = family.at("origin_fall").get<Micros>();
-        site.report_fields = boot.at("load_report").at("fields").get<std::vector<std::string>>();
         site.list_must_be_asked = boot.at("discovery").get<std::string>() == "ask";
         if (site.traffic.empty() || site.kb_per_s <= 0)
             throw BadInput("start-up settings: no traffic or no pace");
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -9,8 +9,7 @@
 constexpr Micros noon = 1000 * test_second;
 
 inline TrafficFacts pages() {
-    return {400 * test_ms, 5 * test_second, 2, 1, 0.2,   Effect::Rerunnable,
-            Group::All,    4 * test_second, 0, 0, false, false};
+    return {400 * test_ms, 2, Effect::Rerunnable, Group::All, 4 * test_second, 0, false};
 }
 
 inline SiteFacts site() {
@@ -22,7 +21,6 @@
     facts.origin_kind = 2;
     facts.transmissions_cap = 6;
     facts.routers_by_zone = {0, 2, 2};
-    facts.hub_of = {0, 0, 0};
     facts.second_copies = facts.withdraw = facts.probes = facts.retry_after = facts.joins = true;
     facts.notes = NotesTold::All;
     facts.kb_per_s = 5000;
