--- a/src/drill/drill.cpp
+++ b/src/drill/drill.cpp
@@ -58,7 +58,7 @@
 std::string Drill::answer(std::string_view batch) {
     if (batch.size() < batch_head) throw BadInput("a frame is shorter than its header");
     auto count = read_number(batch, 0, 4);
-    now = static_cast<Micros>(read_number(batch, 4, 8));
+    now = read_time(batch, 4);
     if (count > (batch.size() - batch_head) / event_bytes)
         throw BadInput("a frame is shorter than its records");
     tail = batch.substr(batch_head + count * event_bytes);
@@ -141,10 +141,10 @@
     facts.id = read_number(record, 1, 8);
     facts.traffic = static_cast<int>(read_number(record, 9, 1));
     facts.object = read_number(record, 14, 8);
-    facts.due = static_cast<Micros>(read_number(record, 22, 8));
-    facts.kbytes = read_float(record, 30);
-    facts.group = static_cast<int>(read_float(record, 34));
-    facts.part = static_cast<int>(read_float(record, 38));
+    facts.due = read_time(record, 22);
+    facts.kbytes = read_amount(record, 30);
+    facts.group = static_cast<int>(read_amount(record, 34));
+    facts.part = static_cast<int>(read_amount(record, 38));
     auto flags = read_number(record, 42, 1);
     facts.repeat = flags & 2;
     facts.write = flags & 4;
@@ -185,10 +185,10 @@
         auto row = rows.substr(i * entry_bytes, entry_bytes);
         auto status = read_number(row, 0, 1);
         if (status > 2) throw BadInput("unknown status of a cache");
-        entries.push_back(
-            {read_number(row, 6, 6), static_cast<Listed>(status), read_float(row, 1),
-             static_cast<int>(read_number(row, 5, 1)), static_cast<int>(read_number(row, 12, 2)),
-             static_cast<int>(read_number(row, 14, 2)), static_cast<Micros>(read_number(row, 16, 8))});
+        entries.push_back({read_number(row, 6, 6), static_cast<Listed>(status), read_amount(row, 1),
+                           static_cast<int>(read_number(row, 5, 1)),
+                           static_cast<int>(read_number(row, 12, 2)),
+                           static_cast<int>(read_number(row, 14, 2)), read_time(row, 16)});
     }
     router().list(entries, scope != 0, now);
 }
--- a/src/drill/frame.cpp
+++ b/src/drill/frame.cpp
@@ -15,6 +15,18 @@
     return std::bit_cast<float>(static_cast<std::uint32_t>(read_number(bytes, at, 4)));
 }
 
+float read_amount(std::string_view bytes, std::size_t at) {
+    float value = read_float(bytes, at);
+    if (!(value >= 0 && value <= 1e9f)) throw BadInput("an amount is negative, no number or beyond measure");
+    return value;
+}
+
+std::int64_t read_time(std::string_view bytes, std::size_t at) {
+    auto value = read_number(bytes, at, 8);
+    if (value >> 62) throw BadInput("a clock time is beyond measure");
+    return static_cast<std::int64_t>(value);
+}
+
 void write_number(std::string& bytes, std::size_t at, int width, std::uint64_t value) {
     for (int i = width - 1; i >= 0; i--, value >>= 8) bytes.at(at + i) = static_cast<char>(value & 0xff);
 }
--- a/src/drill/frame.hpp
+++ b/src/drill/frame.hpp
@@ -19,6 +19,8 @@
 
 std::uint64_t read_number(std::string_view bytes, std::size_t at, int width);
 float read_float(std::string_view bytes, std::size_t at);
+float read_amount(std::string_view bytes, std::size_t at);  // not negative, and no larger than any real one
+std::int64_t read_time(std::string_view bytes, std::size_t at);  // a clock time in microseconds
 void write_number(std::string& bytes, std::size_t at, int width, std::uint64_t value);
 
 // A checked piece of the tail.
--- a/tests/drill_test.cpp
+++ b/tests/drill_test.cpp
@@ -34,4 +34,6 @@
     CHECK_THROWS_AS(drill.answer(batch(2, record(7) + record(10, 13, 4, 9))), BadInput);  // outside the tail
     CHECK_THROWS_AS(read_boot("{\"balancers\": 3"), BadInput);
     CHECK_THROWS_AS(read_boot("{}"), BadInput);
+    CHECK_THROWS_AS(read_amount(std::string("\x7f\xc0\0\0", 4), 0), BadInput);  // no number
+    CHECK_THROWS_AS(read_time(std::string(8, '\xff'), 0), BadInput);
 }
