Give each part of an object its own place among a location's caches

Cause: all parts of an object went to one cache; a few long objects that meet there crowd it. Change: the edge's hash takes the part too.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -111,6 +111,11 @@
     return order;
 }
 
+// A copy is a copy of one part, and at the edge each part has a place of its own in the hash order. With one
+// place for a whole object its parts ask one cache in a convoy, and a few long objects that meet there crowd it
+// while its neighbours have room. The count, the draw and the parents stay with the object.
+ObjectId part_key(const LookupFacts& lookup) { return lookup.object + 0x51ed2701u * lookup.part; }
+
 bool holds(const std::vector<CacheId>& ids, CacheId id) {
     return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
@@ -466,7 +471,7 @@
     double work = mean_sending(router.traffic[held.facts.traffic]);
     Server *least = nullptr, *last = nullptr;
     double least_crowd = 0;
-    for (auto* cache : in_hash_order(router, held.facts.object, is_edge)) {
+    for (auto* cache : in_hash_order(router, part_key(held.facts), is_edge)) {
         if (!may_send(router, held, *cache, now) || !within_cold_budget(router, *cache, work, now)) continue;
         if (holds(held.failed_at, cache->id)) continue;
         if (complaint(router, *cache, now)) {
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -2,6 +2,7 @@
 #include <doctest/doctest.h>
 
 #include <cmath>
+#include <set>
 
 #include "helpers.hpp"
 
@@ -126,6 +127,20 @@
     CHECK(pick_cache(r, held, noon) == first);
 }
 
+// Guards against partner-schools-later's big-2: long objects in convoy at one cache while others had room.
+TEST_CASE("the parts of an object are spread over the caches, each part always at the same one") {
+    auto r = router();
+    std::set<CacheId> met;
+    for (int part = 0; part < 20; part++) {
+        Held held;
+        held.facts = lookup(1, 77, part);
+        auto* cache = pick_cache(r, held, noon);
+        met.insert(cache->id);
+        CHECK(pick_cache(r, held, noon) == cache);
+    }
+    CHECK(met.size() == 3);
+}
+
 TEST_CASE("one parent serves alone and none means the origin") {
     auto r = router();
     Held held;
