Leave caches under complaint out of the crowd figure

Cause: the few lookups on trial at a slow cache come back very late, and their room entered the mean that shedding goes by. Change: caches under complaint are left out.

--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -141,6 +141,16 @@
     CHECK(met.size() == 3);
 }
 
+// Guards against depot-media-later's big-1: trials at ageing caches looked like a crowd, and half was rejected.
+TEST_CASE("what trials meet at a cache under complaint is no crowd") {
+    auto r = router();
+    for (CacheId id : {1, 2, 3}) find_server(r, id)->room = Samples(4, {noon, 0.1});
+    find_server(r, 3)->room = Samples(8, {noon, 9});
+    CHECK(crowd(r, noon) > 1);
+    find_server(r, 3)->unreached_at = noon;
+    CHECK(crowd(r, noon) == doctest::Approx(0.1));
+}
+
 TEST_CASE("one parent serves alone and none means the origin") {
     auto r = router();
     Held held;
