Count what a source has not answered in its first-byte time

Cause: first-byte times were taken from answers only, so a slow parent that answers few fills in time was judged by those few, or counted as average; at full size each router hears a parent three times in ten seconds. Told from a slow origin by the time and by the other parents. Change: what is out longer than the usual answer counts with its wait so far, and so do fills that ended without one. Also covers silent and cold parents; it hurts where a cache itself holds lookups back, but then alike at all sources.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -112,8 +112,8 @@
 }
 
 // A copy is a copy of one part, and at the edge each part has a place of its own in the hash order. With one
-// place for a whole object its parts ask one cache in a convoy, and a few long objects that meet there crowd it
-// while its neighbours have room. The count, the draw and the parents stay with the object.
+// place for a whole object its parts ask one cache in a convoy, and a few long objects that meet there crowd
+// it while its neighbours have room. The count, the draw and the parents stay with the object.
 ObjectId part_key(const LookupFacts& lookup) { return lookup.object + 0x51ed2701u * lookup.part; }
 
 bool holds(const std::vector<CacheId>& ids, CacheId id) {
@@ -433,6 +433,18 @@
     return spent <= budget_margin * allowed;
 }
 
+// The smoothed first-byte time of a source. What is still out for longer than the usual answer counts with
+// what it has waited so far, as fills that ended without an answer do: else a parent that answers few of its
+// fills is judged by these few, or counts as average. Guards against slow, silent and cold parents alike; it
+// hurts where lookups are out long for a cache's own reasons, but then at all sources alike.
+double first_byte_time(const Server& source, double average, Micros now) {
+    auto times = recent(source.first_byte, now, first_byte_life);
+    double usual = mean(times, average);
+    for (auto& flight : source.in_flight)
+        if (double waited = now - flight.sent - flight.work; waited > usual) times.push_back(waited);
+    return mean(times, average);
+}
+
 // Of the object's first two parents the one with the lower smoothed first-byte time; a parent that was not
 // heard from lately counts as average, one alone serves alone, and none means the origin.
 CacheId pick_source(Router& router, const Held& held, Micros now) {
@@ -453,7 +465,7 @@
             if (on_trial(*parent, now)) return parent->id;
             continue;
         }
-        double time = mean(recent(parent->first_byte, now, first_byte_life), average);
+        double time = first_byte_time(*parent, average, now);
         if (!best || time < best_time) {
             best = parent;
             best_time = time;
@@ -560,11 +572,12 @@
 }
 
 // How much of its room the usual hit used lately at the location's caches. Fills are left out: they wait for
-// the link, and have a figure of their own.
+// the link, and have a figure of their own. So are caches under complaint: lookups pass them by, and what the
+// few on trial there meet would look like a crowd at all of them.
 double crowd(const Router& router, Micros now) {
     std::vector<double> used;
     for (auto& server : router.servers)
-        if (is_edge(router, server))
+        if (is_edge(router, server) && !complaint(router, server, now))
             for (double value : recent(server.room, now)) used.push_back(value);
     return used.size() < enough ? 0 : mean(used, 0);
 }
@@ -651,11 +664,15 @@
         }
         if (ok) add(cache->finished, now, held.sending, many);
     }
+    if (source && !hit && end.outcome == Outcome::Cancelled &&
+        end.lag - held.sending > first_byte_time(*source, 0, now))
+        add(source->first_byte, now, end.lag - held.sending, many);
     if (source && !ours && !hit) {
         if (ok || by_source) sound(*source, now);
         if (ok || by_source || router.notes != NotesTold::All) add(source->verdicts, now, ok ? 0 : 1);
         Micros first = end.waited > 0 ? end.waited : std::max<Micros>(0, end.lag - held.sending);
-        if (ok || by_source) add(source->first_byte, now, first, many);
+        if (ok || by_source || first > first_byte_time(*source, 0, now))
+            add(source->first_byte, now, first, many);
         if (ok) add(source->finished, now, held.sending, many);
         if (ok) add(type.filled, now, held.sending, many);
     }
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -73,6 +73,18 @@
     CHECK(pick_source(r, held, noon) == 12);
 }
 
+// Guards against calcul-rate-later's big-1: a slow parent, judged by its few answers, went on being named.
+TEST_CASE("what a parent has not yet answered counts in its first-byte time") {
+    auto r = router();
+    Held held;
+    held.facts = lookup(1);
+    find_server(r, 11)->first_byte = {{noon, 20e3}};
+    find_server(r, 12)->first_byte = {{noon, 30e3}};
+    CHECK(pick_source(r, held, noon) == 11);
+    find_server(r, 11)->in_flight = {{9, 0, 0, noon - test_second, 0, 100 * test_ms}};
+    CHECK(pick_source(r, held, noon) == 12);
+}
+
 // Guards against sources that change with the size of the last answers: untold first-byte times are the lag
 // less the sending time.
 TEST_CASE("where the wait is not told, a source's first byte is the lag less the sending time") {
@@ -141,7 +153,8 @@
     CHECK(met.size() == 3);
 }
 
-// Guards against depot-media-later's big-1: trials at ageing caches looked like a crowd, and half was rejected.
+// Guards against depot-media-later's big-1: trials at ageing caches looked like a crowd, and half was
+// rejected.
 TEST_CASE("what trials meet at a cache under complaint is no crowd") {
     auto r = router();
     for (CacheId id : {1, 2, 3}) find_server(r, id)->room = Samples(4, {noon, 0.1});
