Space trials of servers out of favour by the lookups a router takes

Cause: a trial every half second is a third of the lookups where many routers share a location, each taking six a second, and all of them together keep a dead or cold cache busy. Change: one lookup in 20 at most for each server on trial; probes keep their half second. Also covers restarts in step; it hurts where a small router could have learned sooner that a cache is well again.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -33,6 +33,7 @@
 constexpr double bad_share = 0.3, far_worse = 2.5;  // failing or slow beside its peers
 constexpr std::size_t enough = 6;
 constexpr Micros trial_every = 500 * ms;
+constexpr double trial_gaps = 20;  // lookups that this router takes for each trial of a server
 constexpr double in_flight_room = 1.0;
 constexpr Micros flight_wait = second;  // past its sending time by more, a lookup waits for its fill
 constexpr double least_in_flight = 6;
@@ -173,8 +174,12 @@
     return nullptr;
 }
 
-bool on_trial(Server& server, Micros now) {
-    if (now - server.last_trial < trial_every) return false;
+// Every so often one lookup tries a server out of favour. A router that sees few lookups tries less often, so
+// that at a location with many routers trials do not become what is mostly sent, to a dead or a cold server.
+bool on_trial(const Router& router, Server& server, Micros now) {
+    double gap = 0;
+    if (router.taken.size() >= enough) gap = double(now - router.taken.front().at) / router.taken.size();
+    if (now - server.last_trial < std::max<double>(trial_every, trial_gaps * gap)) return false;
     server.last_trial = now;
     return true;
 }
@@ -462,7 +467,7 @@
     for (auto* parent : parents) {
         if (holds(held.failed_from, parent->id) || !within_cold_budget(router, *parent, work, now)) continue;
         if (complaint(router, *parent, now)) {
-            if (on_trial(*parent, now)) return parent->id;
+            if (on_trial(router, *parent, now)) return parent->id;
             continue;
         }
         double time = first_byte_time(*parent, average, now);
@@ -487,7 +492,7 @@
         if (!may_send(router, held, *cache, now) || !within_cold_budget(router, *cache, work, now)) continue;
         if (holds(held.failed_at, cache->id)) continue;
         if (complaint(router, *cache, now)) {
-            if (held.rounds.empty() && on_trial(*cache, now)) return cache;
+            if (held.rounds.empty() && on_trial(router, *cache, now)) return cache;
             if (!last && cache->unreached_at == 0) last = cache;
             continue;
         }
@@ -537,6 +542,7 @@
     lookup = Held{};
     lookup.facts = facts;
     lookup.taken = now;
+    add(taken, now, 1);
     if (facts.kbytes > 0) {
         lookup.sending = static_cast<Micros>(facts.kbytes / kb_per_us);
         add(type.sizes, now, lookup.sending, many);
@@ -782,7 +788,10 @@
         if (server.listed != Listed::Ready || !is_edge(*this, server)) continue;
         const char* wrong = complaint(*this, server, now);
         bool quiet = server.unreached_at > 0 || silence(server, now) > unusual_silence;
-        if (quiet && probes && on_trial(server, now)) upkeep.probe.push_back(server.id);
+        if (quiet && probes && now - server.last_probe >= trial_every) {
+            server.last_probe = now;
+            upkeep.probe.push_back(server.id);
+        }
         if (server.out_of_favour != (wrong != nullptr))
             upkeep.log.push_back("cache " + std::to_string(server.id) +
                                  (wrong ? ": " : " is back in favour") + (wrong ? wrong : ""));
--- a/src/control.hpp
+++ b/src/control.hpp
@@ -140,6 +140,7 @@
     Micros started = 0;
     Micros last_sound = 0;    // when it last answered anything
     Micros last_trial = 0;    // when it was last tried while out of favour
+    Micros last_probe = 0;
     Micros unreached_at = 0;  // since when it could not be reached, 0: it can
     Micros back_since = 0;    // when it answered again after it could not be reached
     bool out_of_favour = false;
@@ -242,6 +243,7 @@
     std::unordered_map<ObjectId, Purge> purged_objects;
     std::unordered_map<int, Purge> purged_groups;
     bool want_list = false;
+    Samples taken;      // lookups
     double credit = 0;  // further transmissions that good answers have paid for
 };
 
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -125,6 +125,17 @@
     CHECK(pick_cache(r, held, noon + test_second));
 }
 
+// Guards against trials that become most of what a router with few lookups sends.
+TEST_CASE("a router that takes few lookups tries a cache out of favour less often") {
+    auto r = router();
+    Held held;
+    held.facts = lookup(1);
+    for (CacheId id : {1, 2, 3}) find_server(r, id)->unreached_at = find_server(r, id)->last_trial = noon;
+    for (int i = 0; i < 10; i++) r.taken.push_back({noon + (i - 8) * 500 * test_ms, 1});
+    CHECK_FALSE(pick_cache(r, held, noon + test_second));
+    CHECK(pick_cache(r, held, noon + 15 * test_second));
+}
+
 // Guards against hot objects that fill up one cache while its neighbours have room, and against a slow origin
 // whose waiting fills would look like such a crowd.
 TEST_CASE("a cache that holds rate times time gives way, but not for lookups that wait for a fill") {
