Record that passing by late parents loses, and space trials by past gaps only

Tried: a parent whose first byte is 2.5 times its peers' gives way to the object's third (by the mean of its samples, then by the median of at least six). Cause of the loss: where the origin is slow or a router hears a parent a few times in ten seconds, sound parents were passed by, and the third parent holds nothing, so the origin is asked again. Undone; the two hashed parents of the design stay.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -178,7 +178,8 @@
 // that at a location with many routers trials do not become what is mostly sent, to a dead or a cold server.
 bool on_trial(const Router& router, Server& server, Micros now) {
     double gap = 0;
-    if (router.taken.size() >= enough) gap = double(now - router.taken.front().at) / router.taken.size();
+    if (router.taken.size() >= enough)
+        gap = double(router.taken.back().at - router.taken.front().at) / router.taken.size();
     if (now - server.last_trial < std::max<double>(trial_every, trial_gaps * gap)) return false;
     server.last_trial = now;
     return true;
