Lay an untold failure to the cache or the source by how each fails in other company

Cause: without notes the refusal was laid to the cache, which was then passed by, while the lookup tried the next cache with the same dead parent. Told from crowded caches by the hits, which went on. Change: the two records apart from each other decide; alike means both. Also covers slow and failing parents and a cache with no room for fills; it hurts where both go wrong at once.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -48,8 +48,8 @@
 constexpr double fills_crowded = 0.1, fills_jammed = 0.8;
 constexpr Micros look_every = 200 * ms, tend_every = 100 * ms;
 
-void add(Samples& samples, Micros at, double value, std::size_t most = few) {
-    samples.push_back({at, value});
+void add(Samples& samples, Micros at, double value, std::size_t most = few, CacheId with = 0) {
+    samples.push_back({at, value, with});
     if (samples.size() > most) samples.pop_front();
 }
 
@@ -143,6 +143,14 @@
     return std::max(least_in_flight, in_flight_room * server.finished.size() / span * time / types);
 }
 
+// The share of a server's verdicts that are failures, leaving out those it shares with `other`.
+double failing_without(const Server& server, const Server& other, Micros now) {
+    std::vector<double> verdicts;
+    for (auto& sample : server.verdicts)
+        if (sample.with != other.id && now - sample.at < sample_life) verdicts.push_back(sample.value);
+    return mean(verdicts, 0);
+}
+
 Micros cold_since(const Server& server) { return std::max(server.started, server.back_since); }
 
 bool is_cold(const Router& router, const Server& server, Micros now) {
@@ -655,7 +663,18 @@
     bool ok = end.outcome == Outcome::Ok;
     bool hit = ok && (end.note == Note::Hit || end.note == Note::Old);
     bool ours = end.outcome == Outcome::Cancelled || end.outcome == Outcome::Moot;
-    bool by_source = end.note >= Note::SourceRefused && end.note != Note::NoPlace;
+    bool by_source = end.note >= Note::SourceRefused && end.note != Note::NoPlace, by_cache = !by_source;
+    // Where no note tells whose failure it was, it is laid to the one that fails more in other company, to
+    // both if that is alike. Guards against a parent that is down: its fills come back as refusals by sound
+    // caches, which were then passed by while the parent went on being named. It hurts where two go wrong
+    // together.
+    if (source && cache && !ok && !ours && router.notes != NotesTold::All &&
+        (end.outcome == Outcome::Error || end.outcome == Outcome::Full || end.outcome == Outcome::Timeout)) {
+        double cache_bad = failing_without(*cache, *source, now),
+               source_bad = failing_without(*source, *cache, now);
+        by_source = source_bad >= cache_bad;
+        by_cache = cache_bad >= source_bad;
+    }
     if (cache && !ours) {
         if (end.outcome != Outcome::Timeout && end.outcome != Outcome::Unconnected) {
             sound(*cache, now);
@@ -663,7 +682,8 @@
             cache->unreached_at = 0;
         }
         if (end.outcome == Outcome::Unconnected && cache->unreached_at == 0) cache->unreached_at = now;
-        if (!by_source && end.outcome != Outcome::Miss) add(cache->verdicts, now, ok ? 0 : 1);
+        if (by_cache && end.outcome != Outcome::Miss)
+            add(cache->verdicts, now, ok ? 0 : 1, few, source && !hit ? source->id : 0);
         if (hit) {
             add(cache->slowness, now, end.lag / std::max<double>(held.sending, 10 * ms));
             add(cache->room, now,
@@ -676,9 +696,9 @@
         add(source->first_byte, now, end.lag - held.sending, many);
     if (source && !ours && !hit) {
         if (ok || by_source) sound(*source, now);
-        if (ok || by_source || router.notes != NotesTold::All) add(source->verdicts, now, ok ? 0 : 1);
+        if (ok || by_source) add(source->verdicts, now, ok ? 0 : 1, few, round.cache);
         Micros first = end.waited > 0 ? end.waited : std::max<Micros>(0, end.lag - held.sending);
-        if (ok || by_source || first > first_byte_time(*source, 0, now))
+        if (ok || (by_source && router.notes == NotesTold::All) || first > first_byte_time(*source, 0, now))
             add(source->first_byte, now, first, many);
         if (ok) add(source->finished, now, held.sending, many);
         if (ok) add(type.filled, now, held.sending, many);
@@ -706,10 +726,8 @@
         forget_if_over(router, held);
         return answer;
     }
-    if (by_source)
-        held.failed_from.push_back(round.source);
-    else if (!ours)
-        held.failed_at.push_back(round.cache);
+    if (by_source) held.failed_from.push_back(round.source);
+    if (by_cache && !ours) held.failed_at.push_back(round.cache);
     for (auto& other : held.rounds)
         if (other.out) return answer;  // a second copy is still on its way
     if (held.look_only) return give_up(router, held, now);
--- a/src/control.hpp
+++ b/src/control.hpp
@@ -123,6 +123,7 @@
 struct Sample {
     Micros at;
     double value;
+    CacheId with = 0;  // the other server that took part, 0: none
 };
 using Samples = std::deque<Sample>;
 
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -115,6 +115,26 @@
     CHECK(pick_source(r, held, noon) != 20);
 }
 
+// Guards against partner-schools-later's big-2: a parent was down, and the caches that said so were passed
+// by.
+TEST_CASE("an untold failure is laid to whichever of cache and source fails more in other company") {
+    auto facts = site();
+    facts.notes = NotesTold::Hit;
+    auto r = router(facts);
+    auto handle = r.take(lookup(1), noon);
+    auto sent = handle.place(noon);
+    auto* cache = find_server(r, sent.send->cache);
+    auto* source = find_server(r, sent.send->source);
+    cache->verdicts = Samples(4, {noon, 0});
+    source->verdicts = Samples(3, {noon, 1, 99});
+    auto next = handle.ended(end(Outcome::Full, cache->id), noon);
+    CHECK(cache->verdicts.back().value == 0);
+    CHECK(source->verdicts.back().value == 1);
+    REQUIRE(next.send);
+    CHECK(next.send->cache == cache->id);
+    CHECK(next.send->source != source->id);
+}
+
 // Guards against incident i8d9138: a school whose caches had died went on trying to reach each of them.
 TEST_CASE("caches that cannot be reached get trials and nothing else") {
     auto r = router();
