Let the link's reported use decide looking only, and ask parents for what they hold

Cause: fills that take long were taken for a crowded link in either case. Told apart by the link use that caches report: 0.4 of full pace with the slow origin, where fills that wait for it take all the places, and 5 to 16 in the overload. Change: reported use from 1 to 4 keeps the largest lookups from filling; long fills alone make them ask a parent for what it holds, and a miss is rejected. Where only probes tell of the link, one cache is probed each half second. Also covers a full or stopped origin, slow parents and lost links; it hurts where a report is old: the origin's share of large lookups is given up for 2 s more. The site's bounds are now one type that the settings and the router share.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -25,7 +25,7 @@
 
 // Measurements: enough samples to tell a trend, few enough that a recovery shows within seconds.
 constexpr std::size_t few = 16, many = 64;
-constexpr Micros sample_life = 5 * second, first_byte_life = 20 * second;
+constexpr Micros sample_life = 5 * second, first_byte_life = 20 * second, report_life = 2 * second;
 
 // Judging servers.
 constexpr double unusual_silence = 8;  // mean gaps; an exponential gap is that long once in 3,000 times
@@ -46,7 +46,8 @@
 // go.
 constexpr double crowded = 0.2, jammed = 1.0;
 constexpr double fills_crowded = 0.1, fills_jammed = 0.8;
-constexpr Micros look_every = 200 * ms, tend_every = 100 * ms;
+constexpr double link_crowded = 1, link_jammed = 4;  // transfers over those that fit at full pace
+constexpr Micros look_every = 200 * ms, tend_every = 100 * ms, listen_every = 500 * ms;
 
 void add(Samples& samples, Micros at, double value, std::size_t most = few, CacheId with = 0) {
     samples.push_back({at, value, with});
@@ -168,6 +169,11 @@
     server.last_sound = now;
 }
 
+void hear(const Router& router, Server& server, const LoadReport& load, Micros now) {
+    if (router.link_use_at >= 0 && router.link_use_at < load.count)
+        add(server.link_use, now, load.values[router.link_use_at]);
+}
+
 void land(Server* server, LookupId lookup, int round) {
     if (!server) return;
     auto& flights = server->in_flight;
@@ -200,6 +206,9 @@
     Server* origin = pick_parent_or_origin(router, is_origin);
     CacheId source_id = cache.id;
     if (is_edge(router, cache) && !held.look_only) source_id = pick_source(router, held, now);
+    if (Server* source = find_server(router, source_id);
+        held.held_only && (!source || !is_parent(router, *source)))
+        source_id = cache.id;
     if (is_parent(router, cache) && origin) source_id = origin->id;
     auto& type = router.traffic[held.facts.traffic];
     double work = mean_sending(type);
@@ -220,6 +229,7 @@
     send.rank = held.keep ? kept_rank : 0;
     send.oldest = oldest_allowed(router, held.facts, now);
     send.join = router.joins;
+    send.held_only = held.held_only;
     send.renew = held.keep && type.fresh > 0;
     answer.send = send;
     Micros patience = std::max(look_every, 2 * expected);
@@ -265,7 +275,7 @@
 
 double psi(double t, double p) { return 1 / (1 + std::exp((p - t) / q)); }
 
-Router::Router(const SiteFacts& site, std::uint64_t seed) {
+Router::Router(const SiteFacts& site, std::uint64_t seed) : Bounds(site) {
     for (auto& t : site.traffic)
         traffic.push_back(
             {t.goal, t.fresh, t.window, t.goal_stretch, t.effect, t.group, t.write, {}, {}, {}, {}});
@@ -273,26 +283,7 @@
     parent_sharers = std::max(1, site.routers);
     p = std::clamp(whole_p / edge_sharers, least_p, most_p);
     kb_per_us = site.kb_per_s / second;
-    zone = site.zone;
-    parent_kind = site.parent_kind;
-    origin_kind = site.origin_kind;
-    transmissions_cap = site.transmissions_cap;
-    second_copies = site.second_copies;
-    withdraw = site.withdraw;
-    probes = site.probes;
-    joins = site.joins;
-    direct = site.direct;
-    ratings_are_links = site.ratings_are_links;
-    notes = site.notes;
-    cold_from = site.cold_from;
-    cold_multiple = site.cold_multiple;
-    parent_cold_from = site.parent_cold_from;
-    parent_multiple = site.parent_multiple;
-    cold = site.cold;
-    cold_window = site.cold_window;
-    parent_cold = site.parent_cold;
-    purge_done = site.purge_done;
-    most_retry_after = site.retry_after ? site.most_retry_after : 0;
+    if (!site.retry_after) most_retry_after = 0;
     want_list = site.list_must_be_asked;
     credit = most_credit / 2;
     chance.state = seed;
@@ -597,6 +588,15 @@
     return used.size() < enough ? 0 : mean(used, 0);
 }
 
+// How full the location's link is, as its caches report; nothing is said of it as 0.
+double link_crowd(const Router& router, Micros now) {
+    std::vector<double> used;
+    for (auto& server : router.servers)
+        if (is_edge(router, server))
+            for (double value : recent(server.link_use, now, report_life)) used.push_back(value);
+    return mean(used, 0);
+}
+
 // Rate times time for what a traffic type fills through the location's link: of the lookups that name a
 // source, those that are out for longer than a hit takes count whole, the others by the share of misses. Each
 // type for itself: a slow origin makes small lookups late long before large ones.
@@ -637,10 +637,12 @@
     held.keep = keep_or_pass(router, held.facts, now);
     if (held.facts.kbytes > 0 && held.sending > left_of(held, now)) return give_up(router, held, now);
     if (too_large(router, held, crowd(router, now), crowded, jammed)) return give_up(router, held, now);
-    held.look_only =
-        too_large(router, held, fill_crowd(router, held.facts.traffic, now), fills_crowded, fills_jammed);
+    held.look_only = too_large(router, held, link_crowd(router, now), link_crowded, link_jammed);
+    held.held_only = !held.look_only && too_large(router, held, fill_crowd(router, held.facts.traffic, now),
+                                                  fills_crowded, fills_jammed);
     Server* cache = pick_cache(router, held, now);
-    if (!cache && router.direct && !held.look_only) {  // straight to the source, shed like a fill
+    if (!cache && router.direct && !held.look_only &&
+        !held.held_only) {  // straight to the source, shed like a fill
         CacheId source = pick_source(router, held, now);
         cache = source ? find_server(router, source) : nullptr;
     }
@@ -675,6 +677,7 @@
         by_source = source_bad >= cache_bad;
         by_cache = cache_bad >= source_bad;
     }
+    if (cache) hear(router, *cache, end.load, now);
     if (cache && !ours) {
         if (end.outcome != Outcome::Timeout && end.outcome != Outcome::Unconnected) {
             sound(*cache, now);
@@ -730,7 +733,7 @@
     if (by_cache && !ours) held.failed_at.push_back(round.cache);
     for (auto& other : held.rounds)
         if (other.out) return answer;  // a second copy is still on its way
-    if (held.look_only) return give_up(router, held, now);
+    if (held.look_only || held.held_only) return give_up(router, held, now);
     Server* next =
         left_of(held, now) > held.sending && router.credit >= 1 ? pick_cache(router, held, now) : nullptr;
     if (!next) return give_up(router, held, now);
@@ -785,9 +788,10 @@
     return answer;
 }
 
-void Router::probed(CacheId id, Outcome outcome, Micros, const LoadReport&, Micros now) {
+void Router::probed(CacheId id, Outcome outcome, Micros, const LoadReport& load, Micros now) {
     Server* server = find_server(*this, id);
     if (!server) return;
+    hear(*this, *server, load, now);
     if (outcome == Outcome::Ok) {
         sound(*server, now);
         if (server->unreached_at > 0 && now - server->unreached_at > second) server->back_since = now;
@@ -803,11 +807,15 @@
     upkeep.look_in = tend_every;
     upkeep.subscribe = want_list;
     want_list = false;
+    bool deaf = probes && link_use_at >= 0;  // where only probes tell of the link, one cache is asked in turn
+    for (auto& server : servers)
+        if (is_edge(*this, server) && !recent(server.link_use, now, listen_every).empty()) deaf = false;
     for (auto& server : servers) {
         if (server.listed != Listed::Ready || !is_edge(*this, server)) continue;
         const char* wrong = complaint(*this, server, now);
         bool quiet = server.unreached_at > 0 || silence(server, now) > unusual_silence;
-        if (quiet && probes && now - server.last_probe >= trial_every) {
+        if ((deaf || (quiet && probes)) && now - server.last_probe >= trial_every) {
+            deaf = false;
             server.last_probe = now;
             upkeep.probe.push_back(server.id);
         }
--- a/src/control.hpp
+++ b/src/control.hpp
@@ -47,18 +47,24 @@
     bool write;
 };
 
+// The bounds that the site sets to decisions, used as they are stated.
+struct Bounds {
+    int zone = 0, parent_kind = -1, origin_kind = -1, transmissions_cap = 1;
+    int link_use_at = -1;  // where a cache's load report tells how full the location's link is, -1: nowhere
+    bool second_copies = false, withdraw = false, probes = false, joins = false, direct = false;
+    bool ratings_are_links = false;
+    NotesTold notes = NotesTold::None;
+    double cold_from = 0, cold_multiple = 0, parent_cold_from = 0, parent_multiple = 0;
+    Micros cold = 0, cold_window = 0, parent_cold = 0, purge_done = 0, most_retry_after = 0;
+};
+
 // What the start-up message states of the site; read once, by Router's constructor.
-struct SiteFacts {
+struct SiteFacts : Bounds {
     std::vector<TrafficFacts> traffic;
-    int routers, zone, parent_kind, origin_kind, transmissions_cap;
+    int routers;
     std::vector<int> routers_by_zone;
-    bool second_copies, withdraw, probes, retry_after, joins, direct, ratings_are_links;
-    NotesTold notes;
+    bool retry_after, list_must_be_asked;
     double kb_per_s;
-    Micros most_retry_after, purge_done;
-    double cold_from, cold_multiple, parent_cold_from, parent_multiple;
-    Micros cold, cold_window, parent_cold;
-    bool list_must_be_asked;
 };
 
 struct ListEntry {
@@ -99,7 +105,7 @@
     CacheId cache, source;
     int rank;
     Micros oldest, limit;
-    bool join, renew;
+    bool join, renew, held_only;
 };
 
 // What a call on a handle answers: at most one transmission and at most one final answer.
@@ -139,8 +145,8 @@
     double rating = 1;
     int kind = 0, cell = 0, zone = 0;
     Micros started = 0;
-    Micros last_sound = 0;    // when it last answered anything
-    Micros last_trial = 0;    // when it was last tried while out of favour
+    Micros last_sound = 0;  // when it last answered anything
+    Micros last_trial = 0;  // when it was last tried while out of favour
     Micros last_probe = 0;
     Micros unreached_at = 0;  // since when it could not be reached, 0: it can
     Micros back_since = 0;    // when it answered again after it could not be reached
@@ -149,6 +155,7 @@
     Samples gaps;        // between answers, while something was due
     Samples verdicts;    // 1 a failure, 0 a good answer
     Samples slowness;    // time taken by hits over their sending time
+    Samples link_use;    // of the location's link, as reported: above 1 it is shared out
     Samples room;        // what hits used of the room between sending and goal time
     Samples finished;    // sending time answered
     Samples first_byte;  // of a source
@@ -170,7 +177,7 @@
 struct Held {
     LookupFacts facts{};
     Micros taken = 0, goal = 0, sending = 0;
-    bool keep = false, done = false, moving = false, look_only = false;
+    bool keep = false, done = false, moving = false, look_only = false, held_only = false;
     std::vector<RoundOut> rounds;
     std::vector<CacheId> failed_at, failed_from;
 };
@@ -212,7 +219,7 @@
     Held& held;
 };
 
-class Router {
+class Router : public Bounds {
 public:
     Router(const SiteFacts& site, std::uint64_t seed);
     Handle take(const LookupFacts& lookup, Micros now);
@@ -226,14 +233,7 @@
     // Derived figures.
     std::vector<Traffic> traffic;
     double p = 1, kb_per_us = 0;
-    int zone = 0, parent_kind = -1, origin_kind = -1, transmissions_cap = 1;
-    bool second_copies = false, withdraw = false, probes = false, joins = false, direct = false;
-    bool ratings_are_links = false;
-    NotesTold notes = NotesTold::None;
     double edge_sharers = 1, parent_sharers = 1;
-    double cold_from = 0, cold_multiple = 0, parent_cold_from = 0, parent_multiple = 0;
-    Micros cold = 0, cold_window = 0, parent_cold = 0, purge_done = 0, connect_timeout = 0,
-           most_retry_after = 0;
 
     // What has been observed.
     Random chance;
@@ -258,6 +258,7 @@
 double silence(const Server& server, Micros now);
 const char* complaint(const Router& router, const Server& server, Micros now);
 double crowd(const Router& router, Micros now);
+double link_crowd(const Router& router, Micros now);
 double fill_crowd(const Router& router, int traffic, Micros now);
 bool too_large(const Router& router, const Held& held, double crowd, double from, double to);
 bool may_send(const Router& router, const Held& held, const Server& to, Micros now);
--- a/src/drill/boot.cpp
+++ b/src/drill/boot.cpp
@@ -71,6 +71,10 @@
         site.parent_cold_from = family.at("parent_cold_from").get<double>();
         site.parent_multiple = family.at("parent_limit_factor").get<double>();
         site.parent_cold = family.at("parent_cold").get<Micros>();
+        site.link_use_at = -1;
+        auto& reported = boot.at("load_report").at("fields");
+        for (std::size_t i = 0; i < reported.size(); i++)
+            if (reported.at(i).get<std::string>() == "x1") site.link_use_at = static_cast<int>(i);
         site.list_must_be_asked = boot.at("discovery").get<std::string>() == "ask";
         if (site.traffic.empty() || site.kb_per_s <= 0)
             throw BadInput("start-up settings: no traffic or no pace");
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -32,6 +32,7 @@
     facts.parent_multiple = 2;
     facts.cold = facts.parent_cold = 10 * test_second;
     facts.cold_window = test_second;
+    facts.link_use_at = 1;
     return facts;
 }
 
