Shed a share of the work at caches and link, of the lookups where fills hold places

Cause: shedding cut each type at a share of its lookups, so that to free a fifth of the work a fifth of the lookups was rejected, though the largest hundredth would often have done; a jam passed and lookups were still rejected. Change: where the crowded thing is a link, cache or location, the largest go until the share of work is freed; where fills hold places, the count stays. It covers bursts and oversized objects; it hurts where sizes are alike.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -42,8 +42,7 @@
 constexpr double budget_margin = 0.6;  // for what other routers and the estimate of the link may get wrong
 constexpr double least_link = 2;       // transfers at full pace, where nothing is known of a link
 constexpr double credit_per_answer = 0.15, most_credit = 20;
-// Shares of the room between sending and goal time, from where shedding begins to where all but the smallest
-// go.
+// Shares of the room between sending and goal time, from where shedding begins to where nearly all goes.
 constexpr double crowded = 0.2, jammed = 1.0;
 constexpr double fills_crowded = 0.1, fills_jammed = 0.8;
 constexpr double link_crowded = 1, link_jammed = 4;  // transfers over those that fit at full pace
@@ -159,16 +158,27 @@
     return since > 0 && now - since < (is_parent(router, server) ? router.parent_cold : router.cold);
 }
 
-void sound(Server& server, Micros now) {
-    Micros due = server.last_sound;
+// When the first answer of those in flight is due, 0 if none is.
+Micros first_due(const Server& server) {
     Micros first = 0;
     for (auto& flight : server.in_flight)
         if (first == 0 || flight.sent + flight.expected < first) first = flight.sent + flight.expected;
-    due = std::max(due, first);
-    if (first > 0 && now > due) add(server.gaps, now, now - due);
+    return first;
+}
+
+void sound(Server& server, Micros now) {
+    Micros due = first_due(server);
+    if (due > 0 && now > std::max(due, server.last_sound))
+        add(server.gaps, now, now - std::max(due, server.last_sound));
     server.last_sound = now;
 }
 
+void reached(Server& server, Micros now) {
+    sound(server, now);
+    if (server.unreached_at > 0 && now - server.unreached_at > second) server.back_since = now;
+    server.unreached_at = 0;
+}
+
 void hear(const Router& router, Server& server, const LoadReport& load, Micros now) {
     if (router.link_use_at >= 0 && router.link_use_at < load.count)
         add(server.link_use, now, load.values[router.link_use_at]);
@@ -373,10 +383,7 @@
 
 // How many mean gaps long the present silence of a server is, counted from when its next answer was due.
 double silence(const Server& server, Micros now) {
-    Micros due = 0;
-    for (auto& flight : server.in_flight)
-        if (due == 0 || flight.sent + flight.expected < due) due = flight.sent + flight.expected;
-    Micros since = std::max(due, server.last_sound);
+    Micros due = first_due(server), since = std::max(due, server.last_sound);
     if (due == 0 || now <= since) return 0;
     double gap = server.gaps.size() < 4 ? unknown_gap : mean(all(server.gaps), unknown_gap);
     return (now - since) / std::max<double>(gap, least_gap);
@@ -509,7 +516,7 @@
 }
 
 // Rule 2: nothing is sent again that may have run, unless the traffic type allows it there and then.
-bool may_send(const Router& router, const Held& held, const Server& to, Micros now) {
+bool may_send(Router& router, const Held& held, const Server& to, Micros now) {
     auto& type = router.traffic[held.facts.traffic];
     if (held.done || static_cast<int>(held.rounds.size()) >= router.transmissions_cap) return false;
     for (auto& round : held.rounds) {
@@ -517,9 +524,8 @@
         if (!round.out && !round.may_have_run) continue;
         if (type.effect == Effect::Rerunnable) continue;
         if (type.effect == Effect::Exclusive || now - round.sent >= type.window) return false;
-        auto at = std::lower_bound(router.servers.begin(), router.servers.end(), round.cache,
-                                   [](auto& server, CacheId wanted) { return server.id < wanted; });
-        if (at == router.servers.end() || at->id != round.cache) return false;
+        auto* at = find_server(router, round.cache);
+        if (!at) return false;
         if (type.group == Group::Zone && at->zone != to.zone) return false;
         if (type.group == Group::Cell && at->cell != to.cell) return false;
     }
@@ -620,15 +626,18 @@
 
 // Guards against a jam that feeds itself (late answers, clients asking again, caches turning work away),
 // whatever brought it: a jump in arrivals, oversized objects, a flush, a slow origin or lost caches. Each
-// type's largest lookups go first, as one of them costs as much as many others and all are worth the same. It
-// hurts where the crowd would have passed by itself within a goal time.
-bool too_large(const Router& router, const Held& held, double crowd, double from, double to) {
+// type's largest lookups go first, as one of them costs as much as many others and all are worth the same: of
+// caches and the link a share of the work is freed, of places for fills a share of the lookups. It hurts
+// where the crowd would have passed by itself within a goal time.
+bool too_large(const Router& router, const Held& held, double crowd, double from, double to, bool by_work) {
     double share = std::clamp((to - crowd) / (to - from), 0.05, 1.0);
     if (share == 1) return false;
     auto sizes = all(router.traffic[held.facts.traffic].sizes);
     if (sizes.size() < enough) return false;
-    auto cut = sizes.begin() + static_cast<std::ptrdiff_t>(share * (sizes.size() - 1));
-    std::nth_element(sizes.begin(), cut, sizes.end());
+    std::sort(sizes.begin(), sizes.end());
+    double room = share * (by_work ? mean(sizes, 0) * sizes.size() : sizes.size());
+    auto cut = sizes.begin();
+    for (; room >= (by_work ? *cut : 1) && cut + 1 != sizes.end(); cut++) room -= by_work ? *cut : 1;
     return held.sending > *cut;
 }
 
@@ -636,10 +645,10 @@
 Answer Handle::place(Micros now) {
     held.keep = keep_or_pass(router, held.facts, now);
     if (held.facts.kbytes > 0 && held.sending > left_of(held, now)) return give_up(router, held, now);
-    if (too_large(router, held, crowd(router, now), crowded, jammed)) return give_up(router, held, now);
-    held.look_only = too_large(router, held, link_crowd(router, now), link_crowded, link_jammed);
+    if (too_large(router, held, crowd(router, now), crowded, jammed, true)) return give_up(router, held, now);
+    held.look_only = too_large(router, held, link_crowd(router, now), link_crowded, link_jammed, true);
     held.held_only = !held.look_only && too_large(router, held, fill_crowd(router, held.facts.traffic, now),
-                                                  fills_crowded, fills_jammed);
+                                                  fills_crowded, fills_jammed, false);
     Server* cache = pick_cache(router, held, now);
     if (!cache && router.direct && !held.look_only &&
         !held.held_only) {  // straight to the source, shed like a fill
@@ -680,9 +689,7 @@
     if (cache) hear(router, *cache, end.load, now);
     if (cache && !ours) {
         if (end.outcome != Outcome::Timeout && end.outcome != Outcome::Unconnected) {
-            sound(*cache, now);
-            if (cache->unreached_at > 0 && now - cache->unreached_at > second) cache->back_since = now;
-            cache->unreached_at = 0;
+            reached(*cache, now);
         }
         if (end.outcome == Outcome::Unconnected && cache->unreached_at == 0) cache->unreached_at = now;
         if (by_cache && end.outcome != Outcome::Miss)
@@ -694,10 +701,7 @@
         }
         if (ok) add(cache->finished, now, held.sending, many);
     }
-    if (source && !hit && end.outcome == Outcome::Cancelled &&
-        end.lag - held.sending > first_byte_time(*source, 0, now))
-        add(source->first_byte, now, end.lag - held.sending, many);
-    if (source && !ours && !hit) {
+    if (source && !hit && end.outcome != Outcome::Moot) {
         if (ok || by_source) sound(*source, now);
         if (ok || by_source) add(source->verdicts, now, ok ? 0 : 1, few, round.cache);
         Micros first = end.waited > 0 ? end.waited : std::max<Micros>(0, end.lag - held.sending);
@@ -793,9 +797,7 @@
     if (!server) return;
     hear(*this, *server, load, now);
     if (outcome == Outcome::Ok) {
-        sound(*server, now);
-        if (server->unreached_at > 0 && now - server->unreached_at > second) server->back_since = now;
-        server->unreached_at = 0;
+        reached(*server, now);
     } else if (server->unreached_at == 0) {
         server->unreached_at = now;
     }
--- a/src/control.hpp
+++ b/src/control.hpp
@@ -260,8 +260,8 @@
 double crowd(const Router& router, Micros now);
 double link_crowd(const Router& router, Micros now);
 double fill_crowd(const Router& router, int traffic, Micros now);
-bool too_large(const Router& router, const Held& held, double crowd, double from, double to);
-bool may_send(const Router& router, const Held& held, const Server& to, Micros now);
+bool too_large(const Router& router, const Held& held, double crowd, double from, double to, bool by_work);
+bool may_send(Router& router, const Held& held, const Server& to, Micros now);
 bool may_reject(const Router& router, const Held& held);
 Server* find_server(Router& router, CacheId id);
 
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -206,6 +206,20 @@
     CHECK(sent.send->source == sent.send->cache);
 }
 
+// Guards against partner-schools' big-2: to free a fifth of the work a fifth of the lookups was rejected.
+TEST_CASE("a share of the work is freed by fewer lookups than a share of the lookups") {
+    auto r = router();
+    for (int i = 0; i < 9; i++) r.traffic[0].sizes.push_back({noon, 10e3});
+    r.traffic[0].sizes.push_back({noon, 910e3});
+    Held held;
+    held.sending = 20 * test_ms;
+    CHECK_FALSE(too_large(r, held, 0.5, 0, 1, true));
+    held.sending = 920 * test_ms;
+    CHECK(too_large(r, held, 0.5, 0, 1, true));
+    held.sending = 20 * test_ms;
+    CHECK(too_large(r, held, 0.5, 0, 1, false));
+}
+
 TEST_CASE("the link's use is heard from load reports") {
     auto r = router();
     r.probed(1, Outcome::Ok, 0, {2, {5, 3}}, noon);
@@ -378,10 +392,10 @@
     Held large, small;
     large.sending = 1000 * test_ms;
     small.sending = 100 * test_ms;
-    CHECK_FALSE(too_large(r, large, crowd(r, noon), 0.5, 1.0));
+    CHECK_FALSE(too_large(r, large, crowd(r, noon), 0.5, 1.0, true));
     find_server(r, 1)->room = Samples(8, {noon, 0.8});
-    CHECK(too_large(r, large, crowd(r, noon), 0.5, 1.0));
-    CHECK_FALSE(too_large(r, small, crowd(r, noon), 0.5, 1.0));
+    CHECK(too_large(r, large, crowd(r, noon), 0.5, 1.0, true));
+    CHECK_FALSE(too_large(r, small, crowd(r, noon), 0.5, 1.0, true));
 }
 
 // Guards against the jam of depot days: fills took seconds at a full link in while hits were quick.
