Let ended fills tell a crowd of fills, failures counted whole

Symptom: from 0:18 half of the small lookups are broken off or rejected, each cache turns fills away at once, hits are in time. Cause: the origin is out of reach, fills wait for it and hold every place, and a router that has two or three fills out cannot tell a crowd from chance. Told from full caches by the hits, from dead parents by all of them failing alike, the origin too. Change: beside what is out, what the last ended fills used of their room counts, a failure as all of it, from 0.4 up, as calm fills use some 0.2 to 0.3. It also covers stopped origins and lost parents; it hurts for 2 s after such a time.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace quillgrade {
 
@@ -44,7 +45,7 @@
 constexpr double credit_per_answer = 0.15, most_credit = 20;
 // Shares of the room between sending and goal time, from where shedding begins to where nearly all goes.
 constexpr double crowded = 0.2, jammed = 1.0;
-constexpr double fills_crowded = 0.1, fills_jammed = 0.8;
+constexpr double fills_crowded = 0.1, fills_jammed = 0.8, usual_fill_room = 0.4;
 constexpr double link_crowded = 1, link_jammed = 4;  // transfers over those that fit at full pace
 constexpr Micros look_every = 200 * ms, tend_every = 100 * ms, listen_every = 500 * ms;
 
@@ -108,7 +109,7 @@
         return a.first != b.first ? a.first > b.first : a.second->id < b.second->id;
     });
     std::vector<Server*> order;
-    for (auto& [value, server] : drawn) order.push_back(server);
+    for (auto& entry : drawn) order.push_back(entry.second);
     return order;
 }
 
@@ -192,9 +193,9 @@
                   flights.end());
 }
 
-Server* pick_parent_or_origin(Router& router, bool (*role)(const Router&, const Server&)) {
+Server* origin_of(Router& router) {
     for (auto& server : router.servers)
-        if (server.listed == Listed::Ready && role(router, server)) return &server;
+        if (server.listed == Listed::Ready && is_origin(router, server)) return &server;
     return nullptr;
 }
 
@@ -209,11 +210,16 @@
     return true;
 }
 
+// What an answer after `lag` has used of the room between sending and goal time.
+double room_of(const Held& held, Micros lag) {
+    return (lag - held.sending) / std::max<double>(held.goal - held.taken - held.sending, ms);
+}
+
 Micros left_of(const Held& held, Micros now) { return held.facts.due - now; }
 
 Answer transmit(Router& router, Held& held, Server& cache, Micros now) {
     // Straight at a parent only that parent itself or the origin may be named; anything else is a fault.
-    Server* origin = pick_parent_or_origin(router, is_origin);
+    Server* origin = origin_of(router);
     CacheId source_id = cache.id;
     if (is_edge(router, cache) && !held.look_only) source_id = pick_source(router, held, now);
     if (Server* source = find_server(router, source_id);
@@ -233,30 +239,28 @@
         if (is_cold(router, *source, now)) add(source->spent, now, work, 1024);
     }
     Answer answer;
-    Transmission send{};
-    send.cache = cache.id;
-    send.source = source_id;
-    send.rank = held.keep ? kept_rank : 0;
-    send.oldest = oldest_allowed(router, held.facts, now);
-    send.join = router.joins;
-    send.held_only = held.held_only;
-    send.renew = held.keep && type.fresh > 0;
-    answer.send = send;
+    answer.send = Transmission{.cache = cache.id,
+                               .source = source_id,
+                               .rank = held.keep ? kept_rank : 0,
+                               .oldest = oldest_allowed(router, held.facts, now),
+                               .limit = 0,
+                               .join = router.joins,
+                               .renew = held.keep && type.fresh > 0,
+                               .held_only = held.held_only};
     Micros patience = std::max(look_every, 2 * expected);
     answer.look_in = std::max<Micros>(1, std::min(left_of(held, now), patience));
     return answer;
 }
 
-void withdraw_rest(Router& router, Held& held, Answer& answer) {
+void withdraw_rest(Router& router, Held& held, Answer& answer, int but = -1) {
     if (!router.withdraw) return;
-    for (std::size_t i = 0; i < held.rounds.size(); i++)
-        if (held.rounds[i].out) answer.withdraw.push_back(static_cast<int>(i));
+    for (int i = 0; i < static_cast<int>(held.rounds.size()); i++)
+        if (held.rounds[i].out && i != but) answer.withdraw.push_back(i);
 }
 
 void forget_if_over(Router& router, Held& held) {
-    for (auto& round : held.rounds)
-        if (round.out) return;
-    if (held.done) router.held.erase(held.facts.id);
+    bool out = std::any_of(held.rounds.begin(), held.rounds.end(), [](auto& round) { return round.out; });
+    if (held.done && !out) router.held.erase(held.facts.id);
 }
 
 // The final answer, given at once: a rejection where the rules let the client ask again, else a break-off.
@@ -288,7 +292,7 @@
 Router::Router(const SiteFacts& site, std::uint64_t seed) : Bounds(site) {
     for (auto& t : site.traffic)
         traffic.push_back(
-            {t.goal, t.fresh, t.window, t.goal_stretch, t.effect, t.group, t.write, {}, {}, {}, {}});
+            {t.goal, t.fresh, t.window, t.goal_stretch, t.effect, t.group, t.write, {}, {}, {}, {}, {}});
     edge_sharers = std::max(1, site.routers_by_zone.at(site.zone));
     parent_sharers = std::max(1, site.routers);
     p = std::clamp(whole_p / edge_sharers, least_p, most_p);
@@ -319,10 +323,7 @@
             server = &*servers.insert(at, fresh);
         }
         if (entry.started > server->started) {  // a new process: what was measured was of the old one
-            server->gaps.clear();
-            server->verdicts.clear();
-            server->slowness.clear();
-            server->first_byte.clear();
+            server->gaps = server->verdicts = server->slowness = server->first_byte = {};
             server->unreached_at = server->back_since = 0;
         }
         server->listed = entry.listed;
@@ -460,7 +461,7 @@
 // Of the object's first two parents the one with the lower smoothed first-byte time; a parent that was not
 // heard from lately counts as average, one alone serves alone, and none means the origin.
 CacheId pick_source(Router& router, const Held& held, Micros now) {
-    Server* origin = pick_parent_or_origin(router, is_origin);
+    Server* origin = origin_of(router);
     double work = mean_sending(router.traffic[held.facts.traffic]);
     auto parents = in_hash_order(router, held.facts.object, is_parent);
     std::vector<double> heard;
@@ -609,7 +610,9 @@
 double fill_crowd(const Router& router, int traffic, Micros now) {
     auto& type = router.traffic[traffic];
     double filled = rate(type.filled, now), answered = rate(type.answered, now);
-    if (filled <= 0) return 0;
+    auto ended = recent(type.fill_room, now, report_life);
+    double ended_crowd = ended.size() < enough ? 0 : mean(ended, 0) - usual_fill_room;
+    if (filled <= 0) return ended_crowd;
     double out = 0, count = 0, misses = answered > filled ? filled / answered : 1;
     for (auto& server : router.servers)
         if (!is_edge(router, server))
@@ -619,9 +622,9 @@
                 out += flight.work * likely;
                 count += likely;
             }
-    if (count <= 1) return 0;
-    return room_used(type,
-                     (1 - 1 / std::sqrt(count)) * out / filled);  // a few large ones are chance, not a crowd
+    if (count <= 1) return ended_crowd;
+    // A few large ones are chance, not a crowd.
+    return std::max(ended_crowd, room_used(type, (1 - 1 / std::sqrt(count)) * out / filled));
 }
 
 // Guards against a jam that feeds itself (late answers, clients asking again, caches turning work away),
@@ -696,8 +699,7 @@
             add(cache->verdicts, now, ok ? 0 : 1, few, source && !hit ? source->id : 0);
         if (hit) {
             add(cache->slowness, now, end.lag / std::max<double>(held.sending, 10 * ms));
-            add(cache->room, now,
-                (end.lag - held.sending) / std::max<double>(held.goal - held.taken - held.sending, ms));
+            add(cache->room, now, room_of(held, end.lag));
         }
         if (ok) add(cache->finished, now, held.sending, many);
     }
@@ -710,6 +712,8 @@
         if (ok) add(source->finished, now, held.sending, many);
         if (ok) add(type.filled, now, held.sending, many);
     }
+    if (source && !hit && !held.held_only && !ours && end.outcome != Outcome::Miss)
+        add(type.fill_room, now, ok ? room_of(held, end.lag) : 1);
     if (source && hit)  // the source was never asked
         std::erase_if(source->spent, [&](auto& s) { return s.at == round.sent && s.value == round.work; });
     land(cache, held.facts.id, end.round);
@@ -748,9 +752,7 @@
 Answer Handle::accepted(int round, Micros, Micros) {
     Answer answer;
     held.done = true;
-    for (std::size_t i = 0; i < held.rounds.size(); i++)
-        if (held.rounds[i].out && static_cast<int>(i) != round && router.withdraw)
-            answer.withdraw.push_back(static_cast<int>(i));
+    withdraw_rest(router, held, answer, round);
     return answer;
 }
 
@@ -807,8 +809,7 @@
 Upkeep Router::tend(Micros now) {
     Upkeep upkeep;
     upkeep.look_in = tend_every;
-    upkeep.subscribe = want_list;
-    want_list = false;
+    upkeep.subscribe = std::exchange(want_list, false);
     bool deaf = probes && link_use_at >= 0;  // where only probes tell of the link, one cache is asked in turn
     for (auto& server : servers)
         if (is_edge(*this, server) && !recent(server.link_use, now, listen_every).empty()) deaf = false;
--- a/src/control.hpp
+++ b/src/control.hpp
@@ -191,6 +191,7 @@
     Samples sizes;             // sending times, told or else seen
     Samples spread;            // time taken over sending time
     Samples answered, filled;  // sending times
+    Samples fill_room;         // what fills used of their room, 1 where they failed
 };
 
 struct Purge {
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -220,6 +220,16 @@
     CHECK(too_large(r, held, 0.5, 0, 1, false));
 }
 
+// Guards against incident i6108ec: with the origin out of reach, fills failed at once and held every place,
+// and routers with few lookups each had too few of them out to see a crowd.
+TEST_CASE("fills that failed or came late tell a crowd of fills though few are out") {
+    auto r = router();
+    r.traffic[0].fill_room = Samples(8, {noon, 0.2});
+    CHECK(fill_crowd(r, 0, noon) < 0.1);
+    r.traffic[0].fill_room = Samples(8, {noon, 1});
+    CHECK(fill_crowd(r, 0, noon) > 0.5);
+}
+
 TEST_CASE("the link's use is heard from load reports") {
     auto r = router();
     r.probed(1, Outcome::Ok, 0, {2, {5, 3}}, noon);
