Draw for a lookup where a router's share of a cold budget is less than one

Cause: at 270 routers a parent back from a loss may get a hundredth of a lookup a second from each; nobody asked it until it was warm, 21 s later, and then all at once. Change: once a window such a router draws with its share over the lookup's work, at a margin of 0.35 instead of 0.6, as the draws of all add up by chance. No coordination is needed. It covers drained and replaced caches too; it hurts only by what chance may add, some 3 deviations under the limit.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -34,14 +34,14 @@
 constexpr double bad_share = 0.3, far_worse = 2.5;  // failing or slow beside its peers
 constexpr std::size_t enough = 6;
 constexpr Micros trial_every = 500 * ms;
-constexpr double trial_gaps = 20;  // lookups that this router takes for each trial of a server
-constexpr double in_flight_room = 1.0;
+constexpr double trial_gaps = 20;       // lookups that this router takes for each trial of a server
 constexpr Micros flight_wait = second;  // past its sending time by more, a lookup waits for its fill
 constexpr double least_in_flight = 6;
 
 // Guards.
-constexpr double budget_margin = 0.6;  // for what other routers and the estimate of the link may get wrong
-constexpr double least_link = 2;       // transfers at full pace, where nothing is known of a link
+constexpr double budget_margin = 0.6;   // for what other routers and the estimate of the link may get wrong
+constexpr double chance_margin = 0.35;  // as before, where it is the routers' draws that add up
+constexpr double least_link = 2;        // transfers at full pace, where nothing is known of a link
 constexpr double credit_per_answer = 0.15, most_credit = 20;
 // Shares of the room between sending and goal time, from where shedding begins to where nearly all goes.
 constexpr double crowded = 0.2, jammed = 1.0;
@@ -141,7 +141,7 @@
         time += type.goal + type.goal_stretch * mean_sending(type);
         types++;
     }
-    return std::max(least_in_flight, in_flight_room * server.finished.size() / span * time / types);
+    return std::max(least_in_flight, server.finished.size() / span * time / types);
 }
 
 // The share of a server's verdicts that are failures, leaving out those it shares with `other`.
@@ -187,10 +187,7 @@
 
 void land(Server* server, LookupId lookup, int round) {
     if (!server) return;
-    auto& flights = server->in_flight;
-    flights.erase(std::remove_if(flights.begin(), flights.end(),
-                                 [&](auto& f) { return f.lookup == lookup && f.round == round; }),
-                  flights.end());
+    std::erase_if(server->in_flight, [&](auto& f) { return f.lookup == lookup && f.round == round; });
 }
 
 Server* origin_of(Router& router) {
@@ -247,8 +244,7 @@
                                .join = router.joins,
                                .renew = held.keep && type.fresh > 0,
                                .held_only = held.held_only};
-    Micros patience = std::max(look_every, 2 * expected);
-    answer.look_in = std::max<Micros>(1, std::min(left_of(held, now), patience));
+    answer.look_in = std::max<Micros>(1, std::min(left_of(held, now), std::max(look_every, 2 * expected)));
     return answer;
 }
 
@@ -266,9 +262,8 @@
 // The final answer, given at once: a rejection where the rules let the client ask again, else a break-off.
 Answer give_up(Router& router, Held& held, Micros now) {
     Answer answer;
-    bool reject = may_reject(router, held) && left_of(held, now) > 0;
-    answer.final = reject ? Final::Rejected : Final::BrokenOff;
-    if (reject) answer.come_back = router.most_retry_after;
+    answer.final = may_reject(router, held) && left_of(held, now) > 0 ? Final::Rejected : Final::BrokenOff;
+    if (answer.final == Final::Rejected) answer.come_back = router.most_retry_after;
     held.done = true;
     withdraw_rest(router, held, answer);
     forget_if_over(router, held);
@@ -419,8 +414,10 @@
 // do; this router takes its share of that, less a margin. Where the link is not told, what this router has
 // seen the server and its like carry stands for its share of the link. What the server has answered since its
 // start is always within what it can do, so a router that has just started itself finds its way up from a
-// small first guess instead of shutting a whole location out for good.
-bool within_cold_budget(const Router& router, const Server& server, double work, Micros now) {
+// small first guess instead of shutting a whole location out for good. Where many share a server a router's
+// share is less than one lookup: then it draws for one once in each window, so that together they use what
+// chance leaves well under the budget, and a parent back from a loss is not left out until it is warm.
+bool within_cold_budget(Router& router, Server& server, double work, Micros now) {
     if (!is_cold(router, server, now)) return true;
     bool parent = is_parent(router, server);
     double sharers = parent ? router.parent_sharers : router.edge_sharers;
@@ -440,10 +437,13 @@
         if (sample.at > since) answered += sample.value;
     double multiple = parent ? router.parent_multiple : router.cold_multiple;
     double allowed = multiple * std::max(share * link * router.cold_window, answered);
-    double spent = work;
+    double spent = 0;
     for (auto& sample : server.spent)
         if (now - sample.at < router.cold_window + 100 * ms) spent += sample.value;
-    return spent <= budget_margin * allowed;
+    if (spent + work <= budget_margin * allowed) return true;
+    if (spent > 0 || now - server.drawn_at < router.cold_window) return false;
+    server.drawn_at = now;
+    return router.chance.unit() * work < chance_margin * allowed;
 }
 
 // The smoothed first-byte time of a source. What is still out for longer than the usual answer counts with
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -230,6 +230,32 @@
     CHECK(fill_crowd(r, 0, noon) > 0.5);
 }
 
+// Guards against shares of a cold parent's budget so small that nobody used it until it was warm.
+TEST_CASE("where a share of a cold budget is less than one lookup, a router draws for one once a window") {
+    auto facts = site();
+    facts.routers = 400;
+    auto r = router(facts);
+    auto& parent = *find_server(r, 11);
+    parent.started = noon - test_second;
+    int asked = 0;
+    for (int i = 0; i < 4000; i++) {
+        Micros at = noon + i * test_ms;
+        if (within_cold_budget(r, parent, 10 * test_ms, at)) {
+            parent.spent.push_back({at, 10e3});
+            asked++;
+        }
+    }
+    CHECK(asked <= 4);
+    asked = 0;
+    for (int i = 0; i < 200; i++) {
+        parent.spent.clear();
+        parent.drawn_at = 0;
+        asked += within_cold_budget(r, parent, 10 * test_ms, noon);
+    }
+    CHECK(asked > 0);
+    CHECK(asked < 20);
+}
+
 TEST_CASE("the link's use is heard from load reports") {
     auto r = router();
     r.probed(1, Outcome::Ok, 0, {2, {5, 3}}, noon);
