--- a/src/control.cpp
+++ b/src/control.cpp
@@ -33,15 +33,14 @@
 constexpr Micros least_gap = 30 * ms, unknown_gap = 200 * ms;
 constexpr double bad_share = 0.3, far_worse = 2.5;  // failing or slow beside its peers
 constexpr std::size_t enough = 6;
-constexpr Micros trial_every = 500 * ms;
+constexpr Micros trial_every = 500 * ms, judge_every = 50 * ms;
 constexpr double trial_gaps = 20;       // lookups that this router takes for each trial of a server
 constexpr Micros flight_wait = second;  // past its sending time by more, a lookup waits for its fill
 constexpr double least_in_flight = 6;
 
 // Guards.
-constexpr double budget_margin = 0.6;   // for what other routers and the estimate of the link may get wrong
-constexpr double chance_margin = 0.35;  // as before, where it is the routers' draws that add up
-constexpr double least_link = 2;        // transfers at full pace, where nothing is known of a link
+constexpr double budget_margin = 0.6;  // for what other routers and the estimate of the link may get wrong
+constexpr double least_link = 2;       // transfers at full pace, where nothing is known of a link
 constexpr double credit_per_answer = 0.15, most_credit = 20;
 // Shares of the room between sending and goal time, from where shedding begins to where nearly all goes.
 constexpr double crowded = 0.2, jammed = 1.0;
@@ -136,12 +135,9 @@
 double most_in_flight(const Router& router, const Server& server) {
     if (server.finished.size() < enough) return least_in_flight;
     double span = std::max<Micros>(server.finished.back().at - server.finished.front().at, 100 * ms);
-    double time = 0, types = 0;
-    for (auto& type : router.traffic) {
-        time += type.goal + type.goal_stretch * mean_sending(type);
-        types++;
-    }
-    return std::max(least_in_flight, server.finished.size() / span * time / types);
+    double time = 0;
+    for (auto& type : router.traffic) time += type.goal + type.goal_stretch * mean_sending(type);
+    return std::max(least_in_flight, server.finished.size() / span * time / router.traffic.size());
 }
 
 // The share of a server's verdicts that are failures, leaving out those it shares with `other`.
@@ -385,13 +381,7 @@
     return (now - since) / std::max<double>(gap, least_gap);
 }
 
-// What speaks against a server now, nullptr if nothing: each sign is measured against its peers, so that
-// trouble which all of them share (a slow origin, a crowd) is not laid at the door of one. Only where the
-// notes tell a parent's own failures from the origin's do parents not excuse each other: then the origin can
-// serve instead.
-const char* complaint(const Router& router, const Server& server, Micros now) {
-    if (server.unreached_at > 0) return "unreachable";
-    if (silence(server, now) > unusual_silence) return "silent";
+const char* beside_peers(const Router& router, const Server& server, Micros now) {
     auto verdicts = recent(server.verdicts, now), slowness = recent(server.slowness, now);
     std::vector<double> peers_bad, peers_slow;
     bool own_fault = is_parent(router, server) && router.notes == NotesTold::All;
@@ -410,21 +400,33 @@
     return nullptr;
 }
 
+// What speaks against a server now, nullptr if nothing: each sign is measured against its peers, so that
+// trouble which all of them share (a slow origin, a crowd) is not laid at the door of one. Only where the
+// notes tell a parent's own failures from the origin's do parents not excuse each other: then the origin can
+// serve instead.
+// Peers change slowly, so the comparison with them holds for a moment.
+const char* complaint(const Router& router, const Server& server, Micros now) {
+    if (server.unreached_at > 0) return "unreachable";
+    if (silence(server, now) > unusual_silence) return "silent";
+    if (now - server.judged_at >= judge_every) {
+        server.judged_at = now;
+        server.judged = beside_peers(router, server, now);
+    }
+    return server.judged;
+}
+
 // A cold server may be asked, by all routers together and within any window, for a multiple of what it can
 // do; this router takes its share of that, less a margin. Where the link is not told, what this router has
 // seen the server and its like carry stands for its share of the link. What the server has answered since its
 // start is always within what it can do, so a router that has just started itself finds its way up from a
-// small first guess instead of shutting a whole location out for good. Where many share a server a router's
-// share is less than one lookup: then it draws for one once in each window, so that together they use what
-// chance leaves well under the budget, and a parent back from a loss is not left out until it is warm.
-bool within_cold_budget(Router& router, Server& server, double work, Micros now) {
+// small first guess instead of shutting a whole location out for good.
+bool within_cold_budget(const Router& router, const Server& server, double work, Micros now) {
     if (!is_cold(router, server, now)) return true;
     bool parent = is_parent(router, server);
     double sharers = parent ? router.parent_sharers : router.edge_sharers;
     double from = parent ? router.parent_cold_from : router.cold_from;
-    Micros warm_after = parent ? router.parent_cold : router.cold;
     double age = std::max<double>(0, now - router.cold_window - cold_since(server));
-    double share = from + (1 - from) * age / warm_after;
+    double share = from + (1 - from) * age / (parent ? router.parent_cold : router.cold);
     double link = (router.ratings_are_links ? server.rating : least_link) / sharers;
     std::vector<double> seen;
     for (auto& peer : router.servers)
@@ -432,18 +434,14 @@
             seen.push_back(rate(peer.finished, peer.finished.back().at));
     if (!router.ratings_are_links) link = std::max(link, mean(seen, 0));
     double answered = 0;
-    Micros since = std::max(cold_since(server), now - router.cold_window);
     for (auto& sample : server.finished)
-        if (sample.at > since) answered += sample.value;
+        if (sample.at > std::max(cold_since(server), now - router.cold_window)) answered += sample.value;
     double multiple = parent ? router.parent_multiple : router.cold_multiple;
     double allowed = multiple * std::max(share * link * router.cold_window, answered);
-    double spent = 0;
+    double spent = work;
     for (auto& sample : server.spent)
         if (now - sample.at < router.cold_window + 100 * ms) spent += sample.value;
-    if (spent + work <= budget_margin * allowed) return true;
-    if (spent > 0 || now - server.drawn_at < router.cold_window) return false;
-    server.drawn_at = now;
-    return router.chance.unit() * work < chance_margin * allowed;
+    return spent <= budget_margin * allowed;
 }
 
 // The smoothed first-byte time of a source. What is still out for longer than the usual answer counts with
@@ -466,8 +464,8 @@
     auto parents = in_hash_order(router, held.facts.object, is_parent);
     std::vector<double> heard;
     for (auto* parent : parents)
-        if (auto times = recent(parent->first_byte, now, first_byte_life); !times.empty())
-            heard.push_back(mean(times, 0));
+        if (!recent(parent->first_byte, now, first_byte_life).empty())
+            heard.push_back(mean(recent(parent->first_byte, now, first_byte_life), 0));
     double average = mean(heard, 0);
     if (parents.size() > 2) parents.resize(2);
     Server* best = nullptr;
@@ -545,10 +543,7 @@
 
 Handle Router::take(const LookupFacts& facts, Micros now) {
     auto& type = traffic[facts.traffic];
-    Held& lookup = held[facts.id];
-    lookup = Held{};
-    lookup.facts = facts;
-    lookup.taken = now;
+    Held& lookup = held[facts.id] = Held{.facts = facts, .taken = now};
     add(taken, now, 1);
     if (facts.kbytes > 0) {
         lookup.sending = static_cast<Micros>(facts.kbytes / kb_per_us);
@@ -568,8 +563,7 @@
 
 std::optional<Handle> Router::find(LookupId id) {
     auto found = held.find(id);
-    if (found == held.end()) return std::nullopt;
-    return Handle{*this, found->second};
+    return found == held.end() ? std::nullopt : std::optional(Handle{*this, found->second});
 }
 
 // What an answer that takes `time`, as the average of the work, has used of the room between the sending time
@@ -606,16 +600,24 @@
 
 // Rate times time for what a traffic type fills through the location's link: of the lookups that name a
 // source, those that are out for longer than a hit takes count whole, the others by the share of misses. Each
-// type for itself: a slow origin makes small lookups late long before large ones.
+// type for itself: a slow origin makes small lookups late long before large ones. Sources under complaint are
+// left out, as others serve in their place.
 double fill_crowd(const Router& router, int traffic, Micros now) {
     auto& type = router.traffic[traffic];
     double filled = rate(type.filled, now), answered = rate(type.answered, now);
-    auto ended = recent(type.fill_room, now, report_life);
+    std::vector<CacheId> avoided;
+    for (auto& server : router.servers)
+        if (!is_edge(router, server) && complaint(router, server, now) &&
+            silence(server, now) <= unusual_silence)
+            avoided.push_back(server.id);
+    std::vector<double> ended;
+    for (auto& sample : type.fill_room)
+        if (now - sample.at < report_life && !holds(avoided, sample.with)) ended.push_back(sample.value);
     double ended_crowd = ended.size() < enough ? 0 : mean(ended, 0) - usual_fill_room;
     if (filled <= 0) return ended_crowd;
     double out = 0, count = 0, misses = answered > filled ? filled / answered : 1;
     for (auto& server : router.servers)
-        if (!is_edge(router, server))
+        if (!is_edge(router, server) && !holds(avoided, server.id))
             for (auto& flight : server.in_flight) {
                 if (flight.traffic != traffic) continue;
                 double likely = now - flight.sent > 2 * flight.work + 100 * ms ? 1 : misses;
@@ -713,7 +715,7 @@
         if (ok) add(type.filled, now, held.sending, many);
     }
     if (source && !hit && !held.held_only && !ours && end.outcome != Outcome::Miss)
-        add(type.fill_room, now, ok ? room_of(held, end.lag) : 1);
+        add(type.fill_room, now, ok ? room_of(held, end.lag) : 1, few, source->id);
     if (source && hit)  // the source was never asked
         std::erase_if(source->spent, [&](auto& s) { return s.at == round.sent && s.value == round.work; });
     land(cache, held.facts.id, end.round);
@@ -787,9 +789,7 @@
 }
 
 Answer Handle::left() {
-    Answer answer;
-    held.done = true;
-    withdraw_rest(router, held, answer);
+    Answer answer = accepted(-1, 0, 0);
     forget_if_over(router, held);
     return answer;
 }
--- a/src/control.hpp
+++ b/src/control.hpp
@@ -148,10 +148,11 @@
     Micros last_sound = 0;  // when it last answered anything
     Micros last_trial = 0;  // when it was last tried while out of favour
     Micros last_probe = 0;
-    Micros drawn_at = 0;      // when chance last decided whether it is asked while cold
     Micros unreached_at = 0;  // since when it could not be reached, 0: it can
     Micros back_since = 0;    // when it answered again after it could not be reached
     bool out_of_favour = false;
+    mutable Micros judged_at = 0;  // when it was last compared with its peers
+    mutable const char* judged = nullptr;
     std::vector<InFlight> in_flight;
     Samples gaps;        // between answers, while something was due
     Samples verdicts;    // 1 a failure, 0 a good answer
@@ -179,8 +180,8 @@
     LookupFacts facts{};
     Micros taken = 0, goal = 0, sending = 0;
     bool keep = false, done = false, moving = false, look_only = false, held_only = false;
-    std::vector<RoundOut> rounds;
-    std::vector<CacheId> failed_at, failed_from;
+    std::vector<RoundOut> rounds{};
+    std::vector<CacheId> failed_at{}, failed_from{};
 };
 
 struct Traffic {
@@ -256,7 +257,7 @@
 CacheId pick_source(Router& router, const Held& held, Micros now);
 Server* pick_cache(Router& router, const Held& held, Micros now);
 Micros oldest_allowed(const Router& router, const LookupFacts& lookup, Micros now);
-bool within_cold_budget(Router& router, Server& server, double work, Micros now);
+bool within_cold_budget(const Router& router, const Server& server, double work, Micros now);
 double silence(const Server& server, Micros now);
 const char* complaint(const Router& router, const Server& server, Micros now);
 double crowd(const Router& router, Micros now);
