Keep only the location's own caches, the parents and the origin

Change: what is never asked is not kept; an entry once known is still told when it drains or is gone.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -306,6 +306,8 @@
         for (auto& server : servers) server.listed = Listed::Gone;
     for (auto& entry : entries) {
         Server* server = find_server(*this, entry.id);
+        bool ours = entry.zone == zone || entry.kind == parent_kind || entry.kind == origin_kind;
+        if (!server && !ours) continue;  // other locations' caches are never asked, so they cost nothing
         if (!server) {
             Server fresh;
             fresh.id = entry.id;
@@ -488,8 +490,7 @@
 }
 
 // The first cache in the object's hash order that nothing speaks against. If all are crowded the least
-// crowded one serves, and if all are under complaint the first that the rules leave, so that the last path
-// stays open.
+// crowded one serves, and if all are under complaint the first that the rules leave: the last path stays.
 Server* pick_cache(Router& router, const Held& held, Micros now) {
     double work = mean_sending(router.traffic[held.facts.traffic]);
     Server *least = nullptr, *last = nullptr;
@@ -682,8 +683,7 @@
     bool by_source = end.note >= Note::SourceRefused && end.note != Note::NoPlace, by_cache = !by_source;
     // Where no note tells whose failure it was, it is laid to the one that fails more in other company, to
     // both if that is alike. Guards against a parent that is down: its fills come back as refusals by sound
-    // caches, which were then passed by while the parent went on being named. It hurts where two go wrong
-    // together.
+    // caches, which were then passed by while the parent went on being named. It hurts if two go wrong.
     if (source && cache && !ok && !ours && router.notes != NotesTold::All &&
         (end.outcome == Outcome::Error || end.outcome == Outcome::Full || end.outcome == Outcome::Timeout)) {
         double cache_bad = failing_without(*cache, *source, now),
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -240,6 +240,14 @@
     CHECK(fill_crowd(r, 0, noon) == 0);
 }
 
+// Guards against work for each lookup that grows with the whole fleet.
+TEST_CASE("caches of other locations are not kept, parents and the origin are") {
+    auto r = router();
+    r.list({entry(31, 0, 2), entry(32, 1, 0)}, false, noon);
+    CHECK_FALSE(find_server(r, 31));
+    CHECK(find_server(r, 32));
+}
+
 TEST_CASE("the link's use is heard from load reports") {
     auto r = router();
     r.probed(1, Outcome::Ok, 0, {2, {5, 3}}, noon);
