Count a cache whose hits come at their goal time as crowded

Cause: what a router has in flight at a cache is its own share; where eight routers share a location none sees the bound reached. Hits that used all their room for 2 s tell the same from four samples on. It also covers caches that grow slow together, which no comparison with peers finds; it hurts where the next cache has to fill what the first has.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -483,8 +483,7 @@
             best_time = time;
         }
     }
-    if (best) return best->id;
-    if (origin) return origin->id;
+    if (best || origin) return best ? best->id : origin->id;
     return parents.empty() ? 0 : parents.front()->id;
 }
 
@@ -504,7 +503,8 @@
         }
         double young = 0;  // a fill that waits for its source holds no room at the cache
         for (auto& flight : cache->in_flight) young += now - flight.sent < flight.work + flight_wait;
-        double crowd = young / most_in_flight(router, *cache);
+        auto used = recent(cache->room, now, report_life);  // hits that come at their goal time tell the same
+        double crowd = std::max(young / most_in_flight(router, *cache), used.size() < 4 ? 0 : mean(used, 0));
         if (crowd < 1) return cache;
         if (!least || crowd < least_crowd) {
             least = cache;
