Undo hits at goal time as a sign of a crowded cache

In a burst every cache's hits are late, lookups go to the least late one, and what it has to fill crowds the link in.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -503,8 +503,7 @@
         }
         double young = 0;  // a fill that waits for its source holds no room at the cache
         for (auto& flight : cache->in_flight) young += now - flight.sent < flight.work + flight_wait;
-        auto used = recent(cache->room, now, report_life);  // hits that come at their goal time tell the same
-        double crowd = std::max(young / most_in_flight(router, *cache), used.size() < 4 ? 0 : mean(used, 0));
+        double crowd = young / most_in_flight(router, *cache);
         if (crowd < 1) return cache;
         if (!least || crowd < least_crowd) {
             least = cache;
