--- a/src/control.cpp
+++ b/src/control.cpp
@@ -692,6 +692,7 @@
         by_cache = cache_bad >= source_bad;
     }
     if (cache) hear(router, *cache, end.load, now);
+    router.told_in_answers |= end.load.count > 0;
     if (cache && !ours) {
         if (end.outcome != Outcome::Timeout && end.outcome != Outcome::Unconnected) {
             reached(*cache, now);
@@ -810,7 +811,7 @@
     Upkeep upkeep;
     upkeep.look_in = tend_every;
     upkeep.subscribe = std::exchange(want_list, false);
-    bool deaf = probes && link_use_at >= 0;  // where only probes tell of the link, one cache is asked in turn
+    bool deaf = probes && link_use_at >= 0 && !told_in_answers;  // then one cache is asked in turn
     for (auto& server : servers)
         if (is_edge(*this, server) && !recent(server.link_use, now, listen_every).empty()) deaf = false;
     for (auto& server : servers) {
--- a/src/control.hpp
+++ b/src/control.hpp
@@ -247,8 +247,9 @@
     std::unordered_map<ObjectId, Purge> purged_objects;
     std::unordered_map<int, Purge> purged_groups;
     bool want_list = false;
-    Samples taken;      // lookups
-    double credit = 0;  // further transmissions that good answers have paid for
+    bool told_in_answers = false;  // load reports come with answers, not only with probes
+    Samples taken;                 // lookups
+    double credit = 0;             // further transmissions that good answers have paid for
 };
 
 // The parts of the decision that tests call by themselves.
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -259,6 +259,14 @@
     CHECK(find_server(r, sent.send->source)->verdicts.empty());
 }
 
+// Guards against 0.4 probes a lookup where many routers share a location and each hears little.
+TEST_CASE("the link's use is probed for only where answers do not bring it") {
+    auto r = router();
+    CHECK(r.tend(noon).probe.size() == 1);
+    r.told_in_answers = true;
+    CHECK(r.tend(noon + test_second).probe.empty());
+}
+
 TEST_CASE("the link's use is heard from load reports") {
     auto r = router();
     r.probed(1, Outcome::Ok, 0, {2, {5, 3}}, noon);
