--- /dev/null
+++ b/src/bytes/bytes.cpp
@@ -0,0 +1,70 @@
+#include "bytes/bytes.hpp"
+
+#include <charconv>
+#include <cmath>
+
+namespace quillgrade::bytes {
+
+std::uint64_t Cursor::number(int width) {
+    std::uint64_t value = 0;
+    for (unsigned char byte : piece(width)) value = value << 8 | byte;
+    return value;
+}
+
+std::string_view Cursor::piece(std::uint64_t length) {
+    if (length > rest.size()) throw Malformed("a field lies outside its message");
+    auto taken = rest.substr(0, length);
+    rest.remove_prefix(length);
+    return taken;
+}
+
+void put_number(std::string& out, int width, std::uint64_t value) {
+    for (int shift = 8 * (width - 1); shift >= 0; shift -= 8)
+        out.push_back(static_cast<char>(value >> shift));
+}
+
+std::optional<std::string_view> Frames::next() {
+    constexpr std::size_t head = 4;
+    if (used > 0) {  // what was handed out before has been dealt with by now
+        held.erase(0, used);
+        used = 0;
+    }
+    if (held.size() < head) return std::nullopt;
+    auto length = Cursor(held).number(head);
+    if (length > longest) throw Malformed("a frame is too long");
+    if (held.size() - head < length) return std::nullopt;
+    used = head + length;
+    return std::string_view(held).substr(head, length);
+}
+
+std::optional<std::uint64_t> read_hex(std::string_view text, std::size_t digits) {
+    if (text.size() != digits) return std::nullopt;
+    std::uint64_t value = 0;
+    for (char c : text) {
+        if (c >= '0' && c <= '9')
+            value = value << 4 | static_cast<unsigned>(c - '0');
+        else if (c >= 'a' && c <= 'f')
+            value = value << 4 | static_cast<unsigned>(c - 'a' + 10);
+        else
+            return std::nullopt;
+    }
+    return value;
+}
+
+std::optional<double> read_amount(std::string_view text) {
+    double value = 0;
+    auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc{} || end != text.data() + text.size()) return std::nullopt;
+    if (!std::isfinite(value) || value < 0 || std::signbit(value) || value > 1e9) return std::nullopt;
+    return value;
+}
+
+std::optional<std::int64_t> read_whole(std::string_view text, std::int64_t most) {
+    std::int64_t value = 0;
+    auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc{} || end != text.data() + text.size() || value < 0 || value > most)
+        return std::nullopt;
+    return value;
+}
+
+}  // namespace quillgrade::bytes
--- a/src/drill/drill.cpp
+++ b/src/drill/drill.cpp
@@ -1,9 +1,10 @@
 #include "drill/drill.hpp"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
-#include "drill/boot.hpp"
 #include "drill/frame.hpp"
+#include "site/site.hpp"
 
 namespace quillgrade::drill {
 
@@ -53,6 +54,16 @@
     return static_cast<Outcome>(code);
 }
 
+SiteFacts read_boot(std::string_view text) {
+    try {
+        return site::read_facts(nlohmann::json::parse(text));
+    } catch (const nlohmann::json::exception& error) {
+        throw BadInput(std::string("start-up settings: ") + error.what());
+    } catch (const site::Unusable& error) {
+        throw BadInput(error.what());
+    }
+}
+
 }  // namespace
 
 std::string Drill::answer(std::string_view batch) {
--- /dev/null
+++ b/src/launch/launch.cpp
@@ -0,0 +1,71 @@
+#include "launch/launch.hpp"
+
+#include <algorithm>
+#include <cstdlib>
+#include <fstream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+
+namespace quillgrade::launch {
+
+namespace {
+
+using nlohmann::json;
+using site::Unusable;
+
+constexpr int other_descriptors = 24;  // log, listener, loop, signals, coordinator, and some to spare
+constexpr double bytes_a_transmission = 600'000;  // an answer, and its copy on the way to the client
+
+}  // namespace
+
+// Clients hold a third of the descriptors at most; four tenths are theirs, and what is left serves the
+// caches, as far as memory holds an answer for each of them. A quarter of memory may wait for clients that
+// read slowly.
+Room divide(double memory_mb, int sockets) {
+    double bytes = memory_mb * 1024 * 1024;
+    if (!(memory_mb >= 16 && memory_mb <= 1e7)) throw Unusable("limits: under 16 MB or beyond measure");
+    if (sockets < 64 || sockets > 10'000'000)
+        throw Unusable("limits: under 64 descriptors or beyond measure");
+    Room room;
+    room.clients = sockets * 2 / 5;
+    room.caches = std::min(sockets - room.clients - other_descriptors,
+                           static_cast<int>(std::min(bytes / 2 / bytes_a_transmission, 1e6)));
+    room.unsent = static_cast<std::size_t>(bytes / 4);
+    return room;
+}
+
+Launch read_launch(const std::string& text, const char* name, const char* listen) {
+    try {
+        auto told = json::parse(text);
+        Launch launch;
+        launch.name = name ? name : told.at("name").get<std::string>();
+        launch.listen = feed::read_address(listen ? listen : told.at("listen").get<std::string>());
+        launch.coordinator = feed::read_address(told.at("coordinator").get<std::string>());
+        auto seed = bytes::read_hex(told.at("seed").get<std::string>(), 16);
+        if (!seed) throw Unusable("the seed is not 16 hex digits");
+        launch.seed = *seed;
+        auto& limits = told.at("limits");
+        launch.room = divide(limits.at("memory_mb").get<double>(), limits.at("sockets").get<int>());
+        launch.facts = site::read_facts(told.at("settings"));
+        launch.terms = site::read_terms(told.at("settings"));
+        launch.known = feed::read_known(told.at("known"), launch.terms);
+        return launch;
+    } catch (const json::exception& error) {
+        throw Unusable(error.what());
+    }
+}
+
+Launch from_environment() {
+    const char* path = std::getenv("PROXY_CONFIG");
+    if (!path) throw Unusable("PROXY_CONFIG is not set");
+    std::ifstream file(path, std::ios::binary);
+    if (!file) throw Unusable(std::string(path) + " can't be read");
+    std::string text{std::istreambuf_iterator<char>(file), {}};
+    try {
+        return read_launch(text, std::getenv("PROXY_NAME"), std::getenv("PROXY_LISTEN"));
+    } catch (const Unusable& error) {
+        throw Unusable(std::string(path) + ": " + error.what());
+    }
+}
+
+}  // namespace quillgrade::launch
--- /dev/null
+++ b/src/launch/launch.hpp
@@ -0,0 +1,33 @@
+// What a router is told at its start: the PROXY_ variables and the file that PROXY_CONFIG names.
+#pragma once
+
+#include <string>
+
+#include "control.hpp"
+#include "feed/event.hpp"
+#include "site/site.hpp"
+
+namespace quillgrade::launch {
+
+// What the limits leave to each use, worked out once.
+struct Room {
+    int clients = 0;         // connections
+    int caches = 0;          // connections
+    std::size_t unsent = 0;  // bytes of answers that clients have not read
+};
+
+struct Launch {
+    std::string name;
+    feed::Address listen, coordinator;
+    std::uint64_t seed = 0;
+    Room room;
+    SiteFacts facts{};
+    site::Terms terms;
+    feed::Known known;
+};
+
+Room divide(double memory_mb, int sockets);                                         // throws site::Unusable
+Launch read_launch(const std::string& text, const char* name, const char* listen);  // throws site::Unusable
+Launch from_environment();                                                          // throws site::Unusable
+
+}  // namespace quillgrade::launch
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,17 @@
+// Starts one router from what its environment tells.
+#include <exception>
+
+#include "launch/launch.hpp"
+#include "log/log.hpp"
+#include "node/node.hpp"
+
+int main() {
+    try {
+        auto launch = quillgrade::launch::from_environment();
+        quillgrade::node::Node(launch).run();
+        return 0;
+    } catch (const std::exception& error) {
+        quillgrade::log::error("quillgrade: {}", error.what());
+        return 1;
+    }
+}
--- /dev/null
+++ b/src/node/client.cpp
@@ -0,0 +1,76 @@
+#include "node/client.hpp"
+
+#include "log/log.hpp"
+
+namespace quillgrade::node {
+
+namespace {
+
+constexpr std::size_t most_open = 32;  // calls on one connection, by the protocol
+
+}  // namespace
+
+Client::Client(Shared& shared, int fd, ClientId id)
+    : shared(shared),
+      id(id),
+      stream(shared.base, fd,
+             {.bytes = [this](std::string_view bytes) { heard(bytes); },
+              .opened = [] {},
+              .drained = [] {},
+              .closed = [this] { hang_up(); }}) {}
+
+bool Client::over() const { return gone || (closing && idle()); }
+
+void Client::heard(std::string_view bytes) {
+    if (gone || closing) return;
+    try {
+        frames.add(bytes);
+        while (auto frame = frames.next()) call(thrift::decode(*frame, shared.terms.traffic));
+    } catch (const bytes::Malformed& error) {
+        // This connection has lost step: what is open on it is still settled, then it is closed.
+        log::warning("client connection closed: {}", error.what());
+        closing = true;
+        stream.stop_reading();
+    }
+}
+
+void Client::call(thrift::Message message) {
+    if (auto* wanted = std::get_if<thrift::Lookup>(&message)) {
+        lookup(std::move(*wanted));
+    } else if (auto* ping = std::get_if<thrift::Ping>(&message)) {
+        stream.write(thrift::pong(ping->seq, shared.ready));
+    } else if (auto* abort = std::get_if<thrift::Abort>(&message)) {
+        auto found = open.find(abort->of);  // an answer may have crossed it
+        if (found == open.end()) return;
+        shared.gathered.emplace_back(Left{{id, found->first}, found->second});
+        open.erase(found);
+    } else if (auto* bad = std::get_if<thrift::BadLookup>(&message)) {
+        log::warning("lookup broken off: its {} is missing or can't be used", bad->why);
+        stream.write(thrift::broken_off(bad->seq));
+    } else if (auto* unknown = std::get_if<thrift::UnknownCall>(&message)) {
+        stream.write(thrift::unknown_call(unknown->seq, unknown->name));
+    }
+}
+
+void Client::lookup(thrift::Lookup lookup) {
+    if (open.contains(lookup.seq)) throw bytes::Malformed("a sequence number is used twice");
+    if (open.size() >= most_open) {
+        stream.write(thrift::broken_off(lookup.seq));
+        return;
+    }
+    open[lookup.seq] = lookup.facts.id;
+    Caller caller{id, lookup.seq};
+    shared.gathered.emplace_back(Arrived{caller, std::move(lookup), shared.clock.now()});
+}
+
+void Client::answer(std::int32_t seq, std::string_view frame) {
+    if (!gone && open.erase(seq)) stream.write(frame);
+}
+
+void Client::hang_up() {
+    gone = true;
+    for (auto& [seq, lookup] : open) shared.gathered.emplace_back(Left{{id, seq}, lookup});
+    open.clear();
+}
+
+}  // namespace quillgrade::node
--- /dev/null
+++ b/src/node/client.hpp
@@ -0,0 +1,44 @@
+// One client's connection: calls in, answers out, each call answered once.
+#pragma once
+
+#include <unordered_map>
+
+#include "bytes/bytes.hpp"
+#include "node/clock.hpp"
+#include "node/gathered.hpp"
+#include "node/loop.hpp"
+
+namespace quillgrade::node {
+
+class Client {
+public:
+    // What all connections of the front share.
+    struct Shared {
+        event_base* base;
+        const site::Terms& terms;
+        Clock& clock;
+        Gathered& gathered;
+        bool ready = false;  // what a ping is told
+    };
+    Client(Shared& shared, int fd, ClientId id);
+
+    void answer(std::int32_t seq, std::string_view frame);
+    bool over() const;  // to be dropped between passes of the loop
+    void hang_up();     // whatever is open, its client is gone
+    bool idle() const { return open.empty() && stream.unsent() == 0; }
+    std::size_t held() const { return stream.unsent() + frames.held_bytes(); }
+
+private:
+    void heard(std::string_view bytes);
+    void call(thrift::Message message);
+    void lookup(thrift::Lookup lookup);
+
+    Shared& shared;
+    ClientId id;
+    bytes::Frames frames{thrift::longest_frame};
+    std::unordered_map<std::int32_t, LookupId> open;
+    bool gone = false, closing = false;
+    Stream stream;
+};
+
+}  // namespace quillgrade::node
--- /dev/null
+++ b/src/node/clock.hpp
@@ -0,0 +1,23 @@
+// The system's Unix clock in whole microseconds. Where it is set back, time stands until it has caught up.
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+
+#include "control.hpp"
+
+namespace quillgrade::node {
+
+class Clock {
+public:
+    Micros now() {
+        auto since = std::chrono::system_clock::now().time_since_epoch();
+        return last = later(last, std::chrono::duration_cast<std::chrono::microseconds>(since).count());
+    }
+    static Micros later(Micros last, Micros read) { return std::max(last, read); }
+
+private:
+    Micros last = 0;
+};
+
+}  // namespace quillgrade::node
--- /dev/null
+++ b/src/node/coordinator.hpp
@@ -0,0 +1,35 @@
+// The connection to the coordinator: events in order, and a new connection whenever it has fallen silent.
+#pragma once
+
+#include <memory>
+
+#include "bytes/bytes.hpp"
+#include "node/gathered.hpp"
+#include "node/loop.hpp"
+
+namespace quillgrade::node {
+
+class Coordinator {
+public:
+    Coordinator(event_base* base, const feed::Address& address, const site::Terms& terms, std::uint64_t last,
+                Gathered& gathered);
+
+private:
+    void connect();
+    void heard(std::string_view bytes);
+    void lost(std::string_view why);
+    void take(feed::Event event);
+
+    event_base* base;
+    feed::Address address;
+    const site::Terms& terms;
+    std::uint64_t last;
+    Gathered& gathered;
+    bool up = false;
+    Micros delay;
+    bytes::Frames frames{feed::longest_frame};
+    Timer silence, again;
+    std::unique_ptr<Stream> stream;
+};
+
+}  // namespace quillgrade::node
--- /dev/null
+++ b/src/node/front.hpp
@@ -0,0 +1,34 @@
+// Where clients connect, and all their connections.
+#pragma once
+
+#include <map>
+
+#include "node/client.hpp"
+
+namespace quillgrade::node {
+
+class Front {
+public:
+    Front(Client::Shared shared, int most_clients, std::size_t most_held);
+    void listen(const feed::Address& at);  // throws std::runtime_error
+    void stop_listening() { listener.reset(); }
+    void set_ready(bool ready) { shared.ready = ready; }
+    void answer(const Caller& caller, std::string_view frame);
+    void sweep();       // between passes of the loop
+    bool idle() const;  // nothing open and nothing unsent
+
+private:
+    void accepted(int fd);
+    void refused(int error);
+    void pause(const char* why);
+
+    Client::Shared shared;
+    std::size_t most_clients, most_held;
+    std::map<ClientId, Client> clients;
+    ClientId last_id = 0;
+    bool paused = false;
+    Timer resume;
+    Owned<evconnlistener> listener;
+};
+
+}  // namespace quillgrade::node
--- /dev/null
+++ b/src/node/gathered.hpp
@@ -0,0 +1,53 @@
+// What callbacks leave for the next turn: decoded values, in the order in which they came.
+#pragma once
+
+#include <cstdint>
+#include <variant>
+#include <vector>
+
+#include "control.hpp"
+#include "feed/event.hpp"
+#include "http/reply.hpp"
+#include "thrift/message.hpp"
+
+namespace quillgrade::node {
+
+using ClientId = std::uint64_t;
+
+// Whom an answer is owed: a call on a client's connection.
+struct Caller {
+    ClientId client = 0;
+    std::int32_t seq = 0;
+};
+
+struct Arrived {
+    Caller caller;
+    thrift::Lookup lookup;
+    Micros at;
+};
+struct Left {  // the client has stopped waiting
+    Caller caller;
+    LookupId lookup;
+};
+struct Landed {
+    LookupId lookup;
+    int round;
+    CacheId cache;
+    Outcome outcome;
+    Micros sent;
+    http::Reply reply;
+};
+struct Probed {
+    CacheId cache;
+    Outcome outcome;
+    Micros sent;
+    LoadReport load;
+};
+struct LookDue {
+    LookupId lookup;
+};
+struct TendDue {};
+
+using Gathered = std::vector<std::variant<Arrived, Left, Landed, Probed, feed::Event, LookDue, TendDue>>;
+
+}  // namespace quillgrade::node
--- /dev/null
+++ b/src/node/link.cpp
@@ -0,0 +1,117 @@
+#include "node/link.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace quillgrade::node {
+
+namespace {
+
+constexpr double idle_share = 0.9;  // of the far side's time, so that it is never the first to close
+
+}  // namespace
+
+Link::Link(const Shared& shared, CacheId cache, const feed::Address& address)
+    : cache(cache),
+      shared(shared),
+      address(address),
+      reader(shared.terms.reported),
+      timer(shared.base, [this] { timed_out(); }),
+      stream(shared.base, -1,
+             {.bytes = [this](std::string_view bytes) { heard(bytes); },
+              .opened = [this] { opened(); },
+              .drained = [] {},
+              .closed = [this] { closed(); }}) {}
+
+void Link::run(const Errand& wanted, std::string_view request) {
+    errand = wanted;
+    stream.write(request);
+    if (connected) {
+        state = State::Busy;
+        wait();
+        return;
+    }
+    state = State::Opening;
+    opening_ends = shared.clock.now() + shared.terms.connect_time;
+    wait();
+    if (!stream.open(address)) finish(Outcome::Moot);  // no descriptor: nothing was sent
+}
+
+void Link::wait() {
+    Micros until = state == State::Opening ? std::min(errand.limit, opening_ends) : errand.limit;
+    timer.set(until - shared.clock.now());
+}
+
+void Link::opened() {
+    connected = true;
+    if (state != State::Opening) return;
+    state = State::Busy;
+    wait();
+}
+
+void Link::heard(std::string_view bytes) {
+    if (state == State::Dead) return;
+    if (state == State::Idle) {  // nothing was asked
+        state = State::Dead;
+        return;
+    }
+    try {
+        if (!reader.add(bytes)) return;
+    } catch (const bytes::Malformed&) {
+        finish(Outcome::Error);
+        return;
+    }
+    auto reply = reader.take();
+    auto outcome = http::outcome_of(reply);
+    finish(outcome, std::move(reply));
+}
+
+void Link::closed() {
+    if (state == State::Opening) {
+        finish(Outcome::Unconnected);
+    } else if (state == State::Busy && !reader.fresh() && reader.ended()) {
+        auto reply = reader.take();
+        auto outcome = http::outcome_of(reply);
+        finish(outcome, std::move(reply));
+    } else if (state == State::Busy) {
+        finish(Outcome::Reset);
+    } else {
+        state = State::Dead;
+    }
+}
+
+void Link::timed_out() {
+    if (state == State::Idle) {
+        state = State::Dead;
+    } else if (state == State::Opening) {
+        finish(shared.clock.now() >= opening_ends ? Outcome::Unconnected : Outcome::Moot);
+    } else if (state == State::Busy) {
+        finish(Outcome::Timeout);
+    }
+}
+
+void Link::give_up() {
+    if (state == State::Opening)
+        finish(Outcome::Moot);
+    else if (state == State::Busy)
+        finish(Outcome::Cancelled);
+}
+
+void Link::drop() {
+    if (state == State::Opening || state == State::Busy)
+        finish(Outcome::Reset);
+    else
+        state = State::Dead;
+}
+
+void Link::finish(Outcome outcome, http::Reply reply) {
+    bool answered = reply.status != 0 && !reply.closes;
+    state = answered ? State::Idle : State::Dead;
+    if (answered)
+        timer.set(static_cast<Micros>(idle_share * static_cast<double>(shared.terms.idle_time)));
+    else
+        timer.stop();
+    shared.ended(*this, outcome, std::move(reply));
+}
+
+}  // namespace quillgrade::node
--- /dev/null
+++ b/src/node/link.hpp
@@ -0,0 +1,60 @@
+// One connection to a cache: one transmission or probe at a time.
+#pragma once
+
+#include <optional>
+
+#include "http/reply.hpp"
+#include "node/clock.hpp"
+#include "node/loop.hpp"
+
+namespace quillgrade::node {
+
+// What a link is out for.
+struct Errand {
+    LookupId lookup = 0;
+    int round = -1;  // -1: a probe
+    Micros sent = 0, limit = 0;
+};
+
+class Link {
+public:
+    // How an errand ended; the link is then idle, or dead.
+    using Ended = std::function<void(Link&, Outcome, http::Reply)>;
+    struct Shared {
+        event_base* base;
+        const site::Terms& terms;
+        Clock& clock;
+        Ended ended;
+    };
+    Link(const Shared& shared, CacheId cache, const feed::Address& address);
+
+    void run(const Errand& errand, std::string_view request);
+    void give_up();  // the errand is no longer wanted: the connection is closed
+    void drop();     // the connection is closed; an errand that is out ends as broken
+    bool usable() const { return state == State::Idle && !stream.dropped(); }
+    bool idle() const { return state == State::Idle; }
+    bool dead() const { return state == State::Dead; }
+
+    const CacheId cache;
+    Errand errand;
+
+private:
+    enum class State { Opening, Busy, Idle, Dead };
+    void opened();
+    void heard(std::string_view bytes);
+    void closed();
+    void timed_out();
+    void finish(Outcome outcome, http::Reply reply = {});
+    void wait();
+
+    const Shared& shared;
+    feed::Address address;
+    State state = State::Idle;
+    bool connected = false;
+    Micros opening_ends = 0;
+    http::ReplyReader reader;
+    Timer timer;
+    Stream stream;
+};
+
+}  // namespace quillgrade::node
--- /dev/null
+++ b/src/node/loop.cpp
@@ -0,0 +1,84 @@
+#include "node/loop.hpp"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <new>
+#include <utility>
+
+namespace quillgrade::node {
+
+namespace {
+
+constexpr std::size_t most_read = 65'536;  // bytes from one socket before the others have their turn
+
+void send_at_once(int fd) {
+    int on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+}  // namespace
+
+Stream::Stream(event_base* base, int fd, Heard heard)
+    : heard(std::move(heard)), buffer(bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE)) {
+    if (!buffer) throw std::bad_alloc();
+    bufferevent_setcb(buffer.get(), on_read, on_write, on_event, this);
+    bufferevent_set_max_single_read(buffer.get(), most_read);
+    bufferevent_set_max_single_write(buffer.get(), most_read);
+    if (fd >= 0) send_at_once(fd);
+    bufferevent_enable(buffer.get(), EV_READ | EV_WRITE);
+}
+
+bool Stream::open(const feed::Address& to) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(to.host);
+    address.sin_port = htons(to.port);
+    if (bufferevent_socket_connect(buffer.get(), reinterpret_cast<sockaddr*>(&address), sizeof address) != 0)
+        return false;
+    send_at_once(bufferevent_getfd(buffer.get()));
+    return true;
+}
+
+bool Stream::dropped() const {
+    char byte;
+    auto got = ::recv(bufferevent_getfd(buffer.get()), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
+// The owner may let go of its stream only between passes of the loop, never in one of these calls.
+void Stream::on_read(bufferevent* buffer, void* self) {
+    auto* input = bufferevent_get_input(buffer);
+    std::array<char, 16'384> piece;
+    for (int got; (got = evbuffer_remove(input, piece.data(), piece.size())) > 0;)
+        static_cast<Stream*>(self)->heard.bytes({piece.data(), static_cast<std::size_t>(got)});
+}
+
+void Stream::on_write(bufferevent*, void* self) { static_cast<Stream*>(self)->heard.drained(); }
+
+void Stream::on_event(bufferevent*, short what, void* self) {
+    auto& heard = static_cast<Stream*>(self)->heard;
+    if (what & BEV_EVENT_CONNECTED)
+        heard.opened();
+    else if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+        heard.closed();
+}
+
+Timer::Timer(event_base* base, std::function<void()> called)
+    : due(std::move(called)),
+      timer(evtimer_new(
+          base, [](evutil_socket_t, short, void* self) { static_cast<Timer*>(self)->due(); }, this)) {
+    if (!timer) throw std::bad_alloc();
+}
+
+void Timer::set(Micros from_now) {
+    from_now = std::max<Micros>(0, from_now);
+    timeval wait{static_cast<time_t>(from_now / 1'000'000), static_cast<suseconds_t>(from_now % 1'000'000)};
+    evtimer_add(timer.get(), &wait);
+}
+
+}  // namespace quillgrade::node
--- /dev/null
+++ b/src/node/loop.hpp
@@ -0,0 +1,60 @@
+// libevent's handles, owned: the loop, buffered sockets, timers.
+#pragma once
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+
+#include <functional>
+#include <memory>
+#include <string_view>
+
+#include "control.hpp"
+#include "feed/event.hpp"
+
+namespace quillgrade::node {
+
+struct Free {
+    void operator()(event_base* base) const { event_base_free(base); }
+    void operator()(bufferevent* buffer) const { bufferevent_free(buffer); }
+    void operator()(event* timer) const { event_free(timer); }
+    void operator()(evconnlistener* listener) const { evconnlistener_free(listener); }
+};
+template <class T>
+using Owned = std::unique_ptr<T, Free>;
+
+// A buffered socket, also one that is not open yet (fd -1). Its owner hears of it by three calls.
+class Stream {
+public:
+    struct Heard {
+        std::function<void(std::string_view)> bytes;
+        std::function<void()> opened, drained, closed;  // closed: by the far side, or never opened
+    };
+    Stream(event_base* base, int fd, Heard heard);
+    bool open(const feed::Address& to);
+    void write(std::string_view bytes) { bufferevent_write(buffer.get(), bytes.data(), bytes.size()); }
+    void stop_reading() { bufferevent_disable(buffer.get(), EV_READ); }
+    std::size_t unsent() const { return evbuffer_get_length(bufferevent_get_output(buffer.get())); }
+    bool dropped() const;  // the far side has closed or spoken while nothing was asked
+
+private:
+    static void on_read(bufferevent*, void* self);
+    static void on_write(bufferevent*, void* self);
+    static void on_event(bufferevent*, short what, void* self);
+    Heard heard;
+    Owned<bufferevent> buffer;
+};
+
+class Timer {
+public:
+    Timer(event_base* base, std::function<void()> due);
+    void set(Micros from_now);
+    void stop() { evtimer_del(timer.get()); }
+
+private:
+    std::function<void()> due;
+    Owned<event> timer;
+};
+
+}  // namespace quillgrade::node
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,106 @@
+#include "node/node.hpp"
+
+#include <algorithm>
+#include <csignal>
+#include <new>
+#include <utility>
+
+#include "log/log.hpp"
+
+namespace quillgrade::node {
+
+namespace {
+
+constexpr Micros ms = 1000;
+// After SIGTERM clients go on coming for 0.4 s, and on open connections for 0.2 s more. SIGKILL follows after
+// the longest time limit, 3 s at most, and 0.7 s more.
+constexpr Micros arrivals_last = 900 * ms, quiet_for = 300 * ms, longest_counted = 3000 * ms,
+                 before_kill = 700 * ms, to_spare = 350 * ms, check_every = 20 * ms;
+
+event_base* make_base() {
+    auto* base = event_base_new();
+    if (!base) throw std::bad_alloc();
+    return base;
+}
+
+}  // namespace
+
+Node::Node(const launch::Launch& launch)
+    : launch(launch),
+      base(make_base()),
+      front({base.get(), launch.terms, clock, gathered, false}, launch.room.clients, launch.room.unsent),
+      pool(base.get(), launch.terms, clock, gathered, launch.room.caches),
+      turn(launch, base.get(), gathered, front, pool),
+      coordinator(base.get(), launch.coordinator, launch.terms, launch.known.last, gathered),
+      check(base.get(), [this] { check.set(check_every); }) {
+    auto on_signal = [](evutil_socket_t, short, void* self) { static_cast<Node*>(self)->told_to_leave(); };
+    std::signal(SIGPIPE, SIG_IGN);
+    term.reset(evsignal_new(base.get(), SIGTERM, on_signal, this));
+    interrupt.reset(evsignal_new(base.get(), SIGINT, on_signal, this));
+    if (!term || !interrupt || evsignal_add(term.get(), nullptr) || evsignal_add(interrupt.get(), nullptr))
+        throw std::bad_alloc();
+}
+
+Micros Node::longest_stay(Micros longest_wait) {
+    return std::min(longest_wait, longest_counted) + before_kill - to_spare;
+}
+
+Phase Node::next(Phase phase, const Seen& seen) {
+    Micros gone = seen.now - seen.told_to_leave;
+    switch (phase) {
+        case Phase::Starting:
+            return Phase::Serving;
+        case Phase::Serving:
+            return seen.told_to_leave > 0 ? Phase::Leaving : Phase::Serving;
+        case Phase::Leaving:
+            return gone >= arrivals_last && seen.now - seen.last_arrival >= quiet_for ? Phase::Finishing
+                                                                                      : Phase::Leaving;
+        case Phase::Finishing:
+            return seen.nothing_held || gone >= seen.longest_stay ? Phase::Over : Phase::Finishing;
+        case Phase::Over:
+            break;
+    }
+    return Phase::Over;
+}
+
+void Node::run() {
+    auto now = clock.now();
+    for (auto& event : launch.known.events) gathered.emplace_back(event);
+    turn.take(std::exchange(gathered, {}), now);
+    turn.tend(now);
+    front.listen(launch.listen);
+    while (phase != Phase::Over) {
+        step();
+        if (phase == Phase::Over) break;
+        event_base_loop(base.get(), gathered.empty() ? EVLOOP_ONCE : EVLOOP_ONCE | EVLOOP_NONBLOCK);
+    }
+}
+
+void Node::step() {
+    auto now = clock.now();
+    for (auto& value : gathered)
+        if (std::holds_alternative<Arrived>(value)) last_arrival = now;
+    turn.take(std::exchange(gathered, {}), now);
+    front.sweep();
+    pool.sweep();
+    Seen seen{now, leave_at, last_arrival, longest_stay(launch.terms.longest_wait),
+              turn.held() == 0 && front.idle()};
+    auto following = next(phase, seen);
+    if (following == phase) return;
+    phase = following;
+    front.set_ready(phase == Phase::Serving);
+    if (phase == Phase::Serving) log::info("serving as {}", launch.name);
+    if (phase == Phase::Leaving) {
+        log::info("leaving: {} lookups held", turn.held());
+        turn.leave(leave_at + seen.longest_stay);
+        check.set(check_every);
+    }
+    if (phase == Phase::Finishing) front.stop_listening();
+    if (phase == Phase::Over) log::info("over: {} lookups broken off", turn.held());
+}
+
+void Node::told_to_leave() {
+    if (leave_at == 0) leave_at = clock.now();
+}
+
+}  // namespace quillgrade::node
--- /dev/null
+++ b/src/node/pool.cpp
@@ -0,0 +1,102 @@
+#include "node/pool.hpp"
+
+#include <algorithm>
+
+namespace quillgrade::node {
+
+Pool::Pool(event_base* base, const site::Terms& terms, Clock& clock, Gathered& gathered, int most_links)
+    : gathered(gathered),
+      most_links(static_cast<std::size_t>(most_links)),
+      shared{base, terms, clock, [this](Link& link, Outcome outcome, http::Reply reply) {
+                 ended(link, outcome, std::move(reply));
+             }} {}
+
+void Pool::list(const feed::Listing& listing) {
+    if (listing.complete)
+        for (auto& [cache, place] : places)
+            if (std::none_of(listing.caches.begin(), listing.caches.end(),
+                             [&](auto& endpoint) { return endpoint.entry.id == cache; }))
+                forget(place);
+    for (auto& endpoint : listing.caches) {
+        auto& place = places[endpoint.entry.id];
+        feed::Address address{endpoint.address, endpoint.port};
+        // Connections to a process that has gone, or to another address, are of no more use.
+        if (endpoint.entry.listed == Listed::Gone || endpoint.entry.started > place.started ||
+            address.host != place.address.host || address.port != place.address.port)
+            forget(place);
+        place.address = address;
+        place.started = endpoint.entry.started;
+    }
+}
+
+void Pool::forget(Place& place) {
+    for (auto* link : place.idle) link->drop();
+    place.idle.clear();
+}
+
+void Pool::send(CacheId cache, const Errand& errand, std::string_view request) {
+    auto found = places.find(cache);
+    Link* link = found == places.end() ? nullptr : idle_link(found->second);
+    if (!link && found != places.end() && make_room()) {
+        all.push_back(std::make_unique<Link>(shared, cache, found->second.address));
+        link = all.back().get();
+    }
+    if (!link || errand.limit <= errand.sent) {  // nothing was sent, and it is not the cache's doing
+        land(cache, errand, Outcome::Moot);
+        return;
+    }
+    if (errand.round >= 0) out[{errand.lookup, errand.round}] = link;
+    link->run(errand, request);
+}
+
+// A connection that the far side has dropped meanwhile is passed over: that says nothing of the lookup.
+Link* Pool::idle_link(Place& place) {
+    while (!place.idle.empty()) {
+        auto* link = place.idle.back();
+        place.idle.pop_back();
+        if (link->usable()) return link;
+        link->drop();
+    }
+    return nullptr;
+}
+
+// Descriptors are bounded: an idle connection makes way for one that is needed.
+bool Pool::make_room() {
+    if (all.size() < most_links) return true;
+    sweep();
+    if (all.size() < most_links) return true;
+    for (auto& [cache, place] : places)
+        if (!place.idle.empty()) {
+            place.idle.front()->drop();
+            place.idle.erase(place.idle.begin());
+            sweep();
+            return true;
+        }
+    return false;
+}
+
+void Pool::give_up(LookupId lookup, int round) {
+    auto found = out.find({lookup, round});
+    if (found != out.end()) found->second->give_up();
+}
+
+void Pool::ended(Link& link, Outcome outcome, http::Reply reply) {
+    out.erase({link.errand.lookup, link.errand.round});
+    if (link.idle()) places[link.cache].idle.push_back(&link);
+    land(link.cache, link.errand, outcome, std::move(reply));
+}
+
+void Pool::land(CacheId cache, const Errand& errand, Outcome outcome, http::Reply reply) {
+    if (errand.round < 0)
+        gathered.emplace_back(Probed{cache, outcome, errand.sent, reply.load});
+    else
+        gathered.emplace_back(
+            Landed{errand.lookup, errand.round, cache, outcome, errand.sent, std::move(reply)});
+}
+
+void Pool::sweep() {
+    for (auto& [cache, place] : places) std::erase_if(place.idle, [](auto* link) { return !link->idle(); });
+    std::erase_if(all, [](auto& link) { return link->dead(); });
+}
+
+}  // namespace quillgrade::node
--- /dev/null
+++ b/src/node/pool.hpp
@@ -0,0 +1,45 @@
+// All connections to caches, parents and the origin, kept by the id of the cache that they lead to.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "node/gathered.hpp"
+#include "node/link.hpp"
+
+namespace quillgrade::node {
+
+class Pool {
+public:
+    Pool(event_base* base, const site::Terms& terms, Clock& clock, Gathered& gathered, int most_links);
+    void list(const feed::Listing& listing);
+    void send(CacheId cache, const Errand& errand, std::string_view request);
+    void give_up(LookupId lookup, int round);
+    void sweep();  // between passes of the loop
+    std::size_t links() const { return all.size(); }
+
+private:
+    struct Place {
+        feed::Address address;
+        Micros started = 0;
+        std::vector<Link*> idle;  // the one used last at the end
+    };
+    void ended(Link& link, Outcome outcome, http::Reply reply);
+    void land(CacheId cache, const Errand& errand, Outcome outcome, http::Reply reply = {});
+    void forget(Place& place);
+    Link* idle_link(Place& place);
+    bool make_room();
+
+    Gathered& gathered;
+    std::size_t most_links;
+    Link::Shared shared;
+    std::unordered_map<CacheId, Place> places;
+    std::vector<std::unique_ptr<Link>> all;
+    std::map<std::pair<LookupId, int>, Link*> out;
+};
+
+}  // namespace quillgrade::node
--- /dev/null
+++ b/src/node/turn.cpp
@@ -0,0 +1,149 @@
+#include "node/turn.hpp"
+
+#include <algorithm>
+
+#include "http/request.hpp"
+#include "log/log.hpp"
+
+namespace quillgrade::node {
+
+Turn::Turn(const launch::Launch& launch, event_base* base, Gathered& gathered, Front& front, Pool& pool)
+    : base(base),
+      terms(launch.terms),
+      gathered(gathered),
+      front(front),
+      pool(pool),
+      router(launch.facts, launch.seed),
+      upkeep(base, [this] { this->gathered.emplace_back(TendDue{}); }) {}
+
+void Turn::take(Gathered batch, Micros reading) {
+    now = reading;
+    for (auto& value : batch) std::visit([this](auto& known) { tell(known); }, value);
+    for (auto& one : answers) carry_out(one);
+    answers.clear();
+    for (auto cache : probes)
+        pool.send(cache, {.lookup = 0, .round = -1, .sent = now, .limit = now + terms.connect_time},
+                  http::probe());
+    probes.clear();
+}
+
+void Turn::tell(Arrived& arrived) {
+    auto& facts = arrived.lookup.facts;
+    if (open.contains(facts.id) || router.find(facts.id)) {  // ids are new with every lookup
+        log::warning("lookup broken off: its id is in use");
+        front.answer(arrived.caller, thrift::broken_off(arrived.caller.seq));
+        return;
+    }
+    facts.due = arrived.at + arrived.lookup.wait;
+    if (leave_by) facts.due = std::min(facts.due, *leave_by);
+    facts.write = router.traffic[facts.traffic].write;
+    auto id = facts.id;
+    open.try_emplace(id, arrived.caller, facts, std::move(arrived.lookup.have),
+                     std::move(arrived.lookup.body), base,
+                     [this, id] { gathered.emplace_back(LookDue{id}); });
+    made(id, router.take(facts, now).place(now));
+}
+
+void Turn::tell(Left& left) {
+    auto found = open.find(left.lookup);
+    if (found == open.end() || found->second.caller.client != left.caller.client) return;
+    found->second.answered = true;
+    if (auto handle = router.find(left.lookup)) made(left.lookup, handle->left());
+}
+
+void Turn::tell(Landed& landed) {
+    auto handle = router.find(landed.lookup);
+    if (!handle) return;
+    auto found = open.find(landed.lookup);
+    auto& reply = landed.reply;
+    // The client's copy holds: only a client that has one can be told so.
+    if (reply.status == 304 && (found == open.end() || found->second.have.empty()))
+        landed.outcome = Outcome::Error;
+    bool owed = found != open.end() && !found->second.answered;
+    bool handles = owed && landed.outcome == Outcome::Ok;
+    if (handles) found->second.answered = true;
+    AttemptEnd end{landed.outcome,   now - landed.sent, 0,         landed.round, reply.note,
+                   !owed || handles, landed.cache,      reply.load};
+    auto answer = handle->ended(end, now);
+    made(landed.lookup, std::move(answer), handles ? std::optional(std::move(reply)) : std::nullopt);
+}
+
+void Turn::tell(Probed& probed) {
+    router.probed(probed.cache, probed.outcome, now - probed.sent, probed.load, now);
+}
+
+void Turn::tell(feed::Event& event) {
+    if (auto* listing = std::get_if<feed::Listing>(&event.what)) {
+        std::vector<ListEntry> entries;
+        for (auto& endpoint : listing->caches) entries.push_back(endpoint.entry);
+        pool.list(*listing);
+        router.list(entries, listing->complete, now);
+    } else if (auto* purge = std::get_if<feed::PurgeNotice>(&event.what)) {
+        router.purged(purge->object, purge->group, std::max<Micros>(0, now - purge->at), now);
+    }
+}
+
+void Turn::tell(LookDue& due) {
+    auto found = open.find(due.lookup);
+    if (found == open.end() || found->second.answered) return;
+    found->second.look_at = 0;
+    if (auto handle = router.find(due.lookup)) made(due.lookup, handle->look(now));
+}
+
+void Turn::tell(TendDue&) { tend(now); }
+
+void Turn::tend(Micros reading) {
+    now = reading;
+    auto answer = router.tend(now);
+    probes.insert(probes.end(), answer.probe.begin(), answer.probe.end());
+    for (auto& line : answer.log) log::info("{}", line);
+    if (answer.look_in > 0) upkeep.set(answer.look_in);
+}
+
+void Turn::made(LookupId lookup, Answer answer, std::optional<http::Reply> handled) {
+    if (auto found = open.find(lookup); found != open.end() && answer.final != Final::None)
+        found->second.answered = true;
+    answers.push_back({lookup, std::move(answer), std::move(handled)});
+}
+
+void Turn::carry_out(Made& made) {
+    auto& answer = made.answer;
+    for (int round : answer.withdraw) pool.give_up(made.lookup, round);
+    auto found = open.find(made.lookup);
+    if (found == open.end()) return;
+    auto& lookup = found->second;
+    auto seq = lookup.caller.seq;
+    if (answer.send) send(lookup, *answer.send);
+    if (answer.look_in > 0 && (lookup.look_at == 0 || now + answer.look_in < lookup.look_at)) {
+        lookup.look_at = now + answer.look_in;
+        lookup.look.set(answer.look_in);
+    }
+    if (made.handled)
+        front.answer(lookup.caller, thrift::handled(seq, made.handled->body, made.handled->status == 304));
+    else if (answer.final == Final::Rejected)
+        front.answer(lookup.caller, thrift::rejected(seq, answer.come_back));
+    else if (answer.final == Final::BrokenOff)
+        front.answer(lookup.caller, thrift::broken_off(seq));
+    else if (!lookup.answered)
+        return;
+    open.erase(found);
+}
+
+void Turn::send(Open& lookup, const Transmission& order) {
+    Micros limit = lookup.facts.due;
+    if (order.limit > 0) limit = std::min(limit, now + order.limit);
+    auto request = http::transmission(lookup.facts, order, limit - now, terms.traffic[lookup.facts.traffic],
+                                      lookup.have, lookup.body);
+    pool.send(order.cache, {lookup.facts.id, lookup.rounds++, now, limit}, request);
+}
+
+void Turn::break_off_all() {
+    for (auto& [id, lookup] : open) {
+        if (auto handle = router.find(id))
+            for (int round : handle->left().withdraw) pool.give_up(id, round);
+        front.answer(lookup.caller, thrift::broken_off(lookup.caller.seq));
+    }
+    open.clear();
+}
+
+}  // namespace quillgrade::node
--- /dev/null
+++ b/src/node/turn.hpp
@@ -0,0 +1,75 @@
+// The turn: what was gathered goes to the module, all with one clock reading, and then its answers are
+// carried out. Nothing is judged here.
+#pragma once
+
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "launch/launch.hpp"
+#include "node/front.hpp"
+#include "node/pool.hpp"
+
+namespace quillgrade::node {
+
+class Turn {
+public:
+    Turn(const launch::Launch& launch, event_base* base, Gathered& gathered, Front& front, Pool& pool);
+    void take(Gathered batch, Micros now);
+    void tend(Micros now);
+    void leave(Micros by) { leave_by = by; }  // lookups taken from now on are answered by then
+    void break_off_all();                     // whatever is still held gets its final answer
+    std::size_t held() const { return open.size(); }
+
+private:
+    // A lookup whose final answer is owed.
+    struct Open {
+        Open(const Caller& caller, const LookupFacts& facts, std::string have, std::string body,
+             event_base* base, std::function<void()> due)
+            : caller(caller),
+              facts(facts),
+              have(std::move(have)),
+              body(std::move(body)),
+              look(base, std::move(due)) {}
+        Caller caller;
+        LookupFacts facts;
+        std::string have, body;
+        bool answered = false;
+        int rounds = 0;      // transmissions so far
+        Micros look_at = 0;  // 0: no look is due
+        Timer look;
+    };
+    // What the module answered about one lookup, and the reply that it is about, if that handles it.
+    struct Made {
+        LookupId lookup;
+        Answer answer;
+        std::optional<http::Reply> handled;
+    };
+
+    void tell(Arrived& arrived);
+    void tell(Left& left);
+    void tell(Landed& landed);
+    void tell(Probed& probed);
+    void tell(feed::Event& event);
+    void tell(LookDue& due);
+    void tell(TendDue& due);
+    void made(LookupId lookup, Answer answer, std::optional<http::Reply> handled = {});
+    void carry_out(Made& made);
+    void send(Open& lookup, const Transmission& order);
+
+    event_base* base;
+    const site::Terms& terms;
+    Gathered& gathered;
+    Front& front;
+    Pool& pool;
+    Router router;
+    std::unordered_map<LookupId, Open> open;
+    std::vector<Made> answers;
+    std::vector<CacheId> probes;
+    std::optional<Micros> leave_by;
+    Micros now = 0;
+    Timer upkeep;
+};
+
+}  // namespace quillgrade::node
--- a/src/drill/boot.cpp
+++ b/src/site/site.cpp
@@ -1,10 +1,9 @@
-#include "drill/boot.hpp"
+#include "site/site.hpp"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
-#include "drill/frame.hpp"
-
-namespace quillgrade::drill {
+namespace quillgrade::site {
 
 namespace {
 
@@ -15,7 +14,7 @@
     auto text = value.get<std::string>();
     for (auto& [name, meaning] : known)
         if (text == name) return meaning;
-    throw BadInput("start-up settings: unknown word '" + text + "'");
+    throw Unusable("start-up settings: unknown word '" + text + "'");
 }
 
 TrafficFacts read_traffic(const json& grade, const json& family, std::size_t i) {
@@ -35,9 +34,8 @@
 
 }  // namespace
 
-SiteFacts read_boot(std::string_view json_text) {
+SiteFacts read_facts(const json& boot) {
     try {
-        auto boot = json::parse(json_text);
         auto& family = boot.at("family_info");
         auto& limits = boot.at("limits");
         auto& safety = boot.at("safety");
@@ -77,13 +75,35 @@
             if (reported.at(i).get<std::string>() == "x1") site.link_use_at = static_cast<int>(i);
         site.list_must_be_asked = boot.at("discovery").get<std::string>() == "ask";
         if (site.traffic.empty() || site.kb_per_s <= 0)
-            throw BadInput("start-up settings: no traffic or no pace");
+            throw Unusable("start-up settings: no traffic or no pace");
         if (site.zone < 0 || static_cast<std::size_t>(site.zone) >= site.routers_by_zone.size())
-            throw BadInput("start-up settings: the zone is not one of the zones");
+            throw Unusable("start-up settings: the zone is not one of the zones");
         return site;
     } catch (const json::exception& error) {
-        throw BadInput(std::string("start-up settings: ") + error.what());
+        throw Unusable(std::string("start-up settings: ") + error.what());
+    }
+}
+
+Terms read_terms(const json& boot) {
+    try {
+        Terms terms;
+        for (auto& grade : boot.at("grades")) {
+            terms.traffic.push_back(grade.at("name").get<std::string>());
+            terms.longest_wait = std::max(terms.longest_wait, grade.at("deadline").get<Micros>());
+        }
+        terms.zones = boot.at("zones").get<std::vector<std::string>>();
+        terms.kinds = boot.at("flavors").get<std::vector<std::string>>();
+        terms.reported = boot.at("load_report").at("fields").get<std::vector<std::string>>();
+        if (terms.reported.size() > LoadReport{}.values.size())
+            throw Unusable("start-up settings: a load report has more than four values");
+        terms.connect_time = boot.at("limits").at("connect_timeout").get<Micros>();
+        terms.idle_time = boot.at("limits").at("keepalive").get<Micros>();
+        if (terms.connect_time <= 0 || terms.idle_time <= 0)
+            throw Unusable("start-up settings: a time limit of connections is not above 0");
+        return terms;
+    } catch (const json::exception& error) {
+        throw Unusable(std::string("start-up settings: ") + error.what());
     }
 }
 
-}  // namespace quillgrade::drill
+}  // namespace quillgrade::site
--- /dev/null
+++ b/src/thrift/message.hpp
@@ -0,0 +1,49 @@
+// The clients' messages: framed Thrift in the strict binary protocol. One frame is decoded into one small
+// value, and each answer is encoded in one go, its frame's length included.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "bytes/bytes.hpp"
+#include "control.hpp"
+
+namespace quillgrade::thrift {
+
+inline constexpr std::size_t longest_frame = 300'000;  // an object of 240,000 bytes and its fields
+
+// A lookup; facts.due is left open, as it runs from when the last byte came.
+struct Lookup {
+    std::int32_t seq = 0;
+    LookupFacts facts{};
+    Micros wait = 0;
+    std::string have, body;
+};
+struct Ping {
+    std::int32_t seq;
+};
+struct Abort {
+    std::int32_t of;
+};
+struct BadLookup {  // well formed, but a field is missing or can't be used
+    std::int32_t seq;
+    std::string_view why;
+};
+struct UnknownCall {
+    std::int32_t seq;
+    std::string name;
+};
+using Message = std::variant<Lookup, Ping, Abort, BadLookup, UnknownCall>;
+
+// The traffic types' names stand in the order of the settings. Throws bytes::Malformed.
+Message decode(std::string_view frame, const std::vector<std::string>& traffic);
+
+std::string handled(std::int32_t seq, std::string_view body, bool same);
+std::string rejected(std::int32_t seq, Micros come_back);
+std::string broken_off(std::int32_t seq);
+std::string pong(std::int32_t seq, bool good);
+std::string unknown_call(std::int32_t seq, std::string_view name);
+
+}  // namespace quillgrade::thrift
--- a/tests/drill_test.cpp
+++ b/tests/drill_test.cpp
@@ -2,7 +2,6 @@
 
 #include <doctest/doctest.h>
 
-#include "drill/boot.hpp"
 #include "drill/frame.hpp"
 
 using namespace quillgrade::drill;
@@ -32,8 +31,10 @@
     CHECK_THROWS_AS(drill.answer(batch(1, record(8))), BadInput);              // before any AT
     CHECK_THROWS_AS(drill.answer(batch(2, record(7) + record(8))), BadInput);  // unknown instance
     CHECK_THROWS_AS(drill.answer(batch(2, record(7) + record(10, 13, 4, 9))), BadInput);  // outside the tail
-    CHECK_THROWS_AS(read_boot("{\"balancers\": 3"), BadInput);
-    CHECK_THROWS_AS(read_boot("{}"), BadInput);
+    for (std::string settings : {"{\"balancers\": 3", "{}"}) {
+        auto attach = record(10, 13, 4, settings.size());
+        CHECK_THROWS_AS(drill.answer(batch(2, record(7) + attach) + settings), BadInput);
+    }
     CHECK_THROWS_AS(read_amount(std::string("\x7f\xc0\0\0", 4), 0), BadInput);  // no number
     CHECK_THROWS_AS(read_time(std::string(8, '\xff'), 0), BadInput);
 }
