--- a/src/http/reply.cpp
+++ b/src/http/reply.cpp
@@ -83,12 +83,6 @@
     return part == Part::Whole;
 }
 
-bool ReplyReader::ended() {
-    if (part != Part::Unsized) return part == Part::Whole;
-    part = Part::Whole;
-    return true;
-}
-
 Reply ReplyReader::take() {
     Reply taken = std::exchange(reply, {});
     part = Part::Head;
@@ -141,10 +135,6 @@
             if (!take_line(line)) return false;
             if (line.empty()) part = Part::Whole;
             return true;
-        case Part::Unsized:
-            due = rest.size();
-            add_body(due);
-            return false;
         case Part::Whole:
             break;
     }
@@ -191,8 +181,10 @@
     } else if (sized) {
         part = Part::Sized;
         reply.body.reserve(due);
+    } else if (reply.status == 200) {  // nothing would tell a whole object from one that was cut short
+        throw Malformed("an object without a length");
     } else {
-        part = Part::Unsized;
+        part = Part::Whole;
         reply.closes = true;
     }
 }
--- a/src/http/reply.hpp
+++ b/src/http/reply.hpp
@@ -29,12 +29,11 @@
     explicit ReplyReader(const std::vector<std::string>& reported) : reported(&reported) {}
     // Takes bytes in pieces of any size; true once the answer is whole. Throws bytes::Malformed.
     bool add(std::string_view more);
-    bool ended();  // the far side has closed: true if that makes the answer whole
     Reply take();  // the whole answer; the reader is ready for the next
     bool fresh() const { return part == Part::Head && held.empty(); }  // nothing of an answer has come
 
 private:
-    enum class Part { Head, Sized, ChunkSize, Chunk, ChunkEnd, Trailer, Unsized, Whole };
+    enum class Part { Head, Sized, ChunkSize, Chunk, ChunkEnd, Trailer, Whole };
     bool step();
     bool take_line(std::string_view& line);
     void read_head(std::string_view head);
--- a/src/http/request.cpp
+++ b/src/http/request.cpp
@@ -15,19 +15,23 @@
 
 std::string cache_name(CacheId id) { return fmt::format("s-{:08x}", id); }
 
-std::string transmission(const LookupFacts& lookup, const Transmission& order, Micros budget,
-                         std::string_view traffic, std::string_view have, std::string_view body) {
-    std::string out;
-    out.reserve(512 + body.size());
-    auto put = std::back_inserter(out);
-    // Both times are rounded down: a budget never passes the client's time, and a copy is never older than
-    // allowed. 0 would ask for the fresh time of the class, so the youngest that can be asked for is 1 ms.
-    fmt::format_to(put,
-                   "GET /data/{}/{:016x}/{} HTTP/1.1\r\nHost: {}\r\nX-Hop-Id: {:016x}\r\nX-Budget: {}\r\n",
-                   traffic, lookup.object, lookup.part, cache_name(order.cache), lookup.id, budget / ms);
+std::string Request::text(Micros budget) const {
+    // Rounded down, so that a budget never passes the client's time.
+    return head + (has_budget ? fmt::format("X-Budget: {}\r\n\r\n", budget / ms) : "\r\n") + body;
+}
+
+Request transmission(const LookupFacts& lookup, const Transmission& order, std::string_view traffic,
+                     std::string_view have, std::string_view body) {
+    Request request{.head = {}, .body = std::string(body), .has_budget = true};
+    request.head.reserve(512);
+    auto put = std::back_inserter(request.head);
+    fmt::format_to(put, "GET /data/{}/{:016x}/{} HTTP/1.1\r\nHost: {}\r\nX-Hop-Id: {:016x}\r\n", traffic,
+                   lookup.object, lookup.part, cache_name(order.cache), lookup.id);
     if (order.source != 0 && order.source != order.cache)
         fmt::format_to(put, "X-Parent: {}\r\n", cache_name(order.source));
     if (order.rank > 0) fmt::format_to(put, "X-Rank: {}\r\n", order.rank);
+    // Rounded down, so that no copy is older than allowed; 0 would ask for the fresh time of the traffic
+    // type, so the youngest that can be asked for is 1 ms.
     if (order.oldest > 0) fmt::format_to(put, "X-Fresh-Ms: {}\r\n", std::max<Micros>(1, order.oldest / ms));
     std::string options;
     auto option = [&](bool wanted, const char* word) {
@@ -41,11 +45,11 @@
     if (!options.empty()) fmt::format_to(put, "X-Opts: {}\r\n", options);
     if (!have.empty()) fmt::format_to(put, "X-Have: {}\r\n", have);
     if (!body.empty()) fmt::format_to(put, "Content-Length: {}\r\n", body.size());
-    out += "\r\n";
-    out += body;
-    return out;
+    return request;
 }
 
-std::string probe() { return "GET /-/gauges HTTP/1.1\r\nHost: cache\r\n\r\n"; }
+Request probe() {
+    return {.head = "GET /-/gauges HTTP/1.1\r\nHost: cache\r\n", .body = {}, .has_budget = false};
+}
 
 }  // namespace quillgrade::http
--- a/src/http/request.hpp
+++ b/src/http/request.hpp
@@ -10,9 +10,15 @@
 
 std::string cache_name(CacheId id);  // as the wire writes it
 
-// One transmission; budget is how long the answer is waited for.
-std::string transmission(const LookupFacts& lookup, const Transmission& order, Micros budget,
-                         std::string_view traffic, std::string_view have, std::string_view body);
-std::string probe();
+// One request, whole but for its budget: how long the answer is waited for is known only when it is written.
+struct Request {
+    std::string head, body;
+    bool has_budget = false;
+    std::string text(Micros budget) const;
+};
+
+Request transmission(const LookupFacts& lookup, const Transmission& order, std::string_view traffic,
+                     std::string_view have, std::string_view body);
+Request probe();
 
 }  // namespace quillgrade::http
--- a/src/launch/launch.cpp
+++ b/src/launch/launch.cpp
@@ -16,6 +16,14 @@
 constexpr int other_descriptors = 24;  // log, listener, loop, signals, coordinator, and some to spare
 constexpr double bytes_a_transmission = 600'000;  // an answer, and its copy on the way to the client
 
+// Guards against amounts that no deployment has; only a kind that the site lacks is told as -1.
+void check_amounts(const json& told) {
+    if (told.is_number() && !(told.get<double>() >= -1 && told.get<double>() <= 1e15))
+        throw Unusable("settings: " + told.dump() + " is out of range");
+    if (told.is_structured())
+        for (auto& inner : told) check_amounts(inner);
+}
+
 }  // namespace
 
 // Clients hold a third of the descriptors at most; four tenths are theirs, and what is left serves the
@@ -46,6 +54,7 @@
         launch.seed = *seed;
         auto& limits = told.at("limits");
         launch.room = divide(limits.at("memory_mb").get<double>(), limits.at("sockets").get<int>());
+        check_amounts(told.at("settings"));
         launch.facts = site::read_facts(told.at("settings"));
         launch.terms = site::read_terms(told.at("settings"));
         launch.known = feed::read_known(told.at("known"), launch.terms);
--- a/src/node/client.cpp
+++ b/src/node/client.cpp
@@ -35,6 +35,8 @@
 }
 
 void Client::call(thrift::Message message) {
+    auto seq = thrift::seq_of(message);
+    if (seq && open.contains(*seq)) throw bytes::Malformed("a sequence number is used twice");
     if (auto* wanted = std::get_if<thrift::Lookup>(&message)) {
         lookup(std::move(*wanted));
     } else if (auto* ping = std::get_if<thrift::Ping>(&message)) {
@@ -53,7 +55,6 @@
 }
 
 void Client::lookup(thrift::Lookup lookup) {
-    if (open.contains(lookup.seq)) throw bytes::Malformed("a sequence number is used twice");
     if (open.size() >= most_open) {
         stream.write(thrift::broken_off(lookup.seq));
         return;
--- a/src/node/coordinator.cpp
+++ b/src/node/coordinator.cpp
@@ -28,6 +28,7 @@
 }
 
 void Coordinator::connect() {
+    waiting = false;
     frames = bytes::Frames(feed::longest_frame);
     stream = std::make_unique<Stream>(base, -1,
                                       Stream::Heard{.bytes = [this](std::string_view bytes) { heard(bytes); },
@@ -41,6 +42,8 @@
 
 // The old stream is let go of when the next one is made: this may be a call from it.
 void Coordinator::lost(std::string_view why) {
+    if (waiting) return;
+    waiting = true;
     if (up || delay == first_delay) log::warning("coordinator lost: {}", why);
     up = false;
     stream->stop_reading();
@@ -50,6 +53,7 @@
 }
 
 void Coordinator::heard(std::string_view bytes) {
+    if (waiting) return;
     try {
         frames.add(bytes);
         while (auto frame = frames.next()) take(feed::decode(*frame, terms));
--- a/src/node/coordinator.hpp
+++ b/src/node/coordinator.hpp
@@ -25,7 +25,7 @@
     const site::Terms& terms;
     std::uint64_t last;
     Gathered& gathered;
-    bool up = false;
+    bool up = false, waiting = false;
     Micros delay;
     bytes::Frames frames{feed::longest_frame};
     Timer silence, again;
--- a/src/node/gathered.hpp
+++ b/src/node/gathered.hpp
@@ -18,6 +18,7 @@
 struct Caller {
     ClientId client = 0;
     std::int32_t seq = 0;
+    bool operator==(const Caller&) const = default;
 };
 
 struct Arrived {
--- a/src/node/link.cpp
+++ b/src/node/link.cpp
@@ -23,30 +23,34 @@
               .drained = [] {},
               .closed = [this] { closed(); }}) {}
 
-void Link::run(const Errand& wanted, std::string_view request) {
+void Link::run(const Errand& wanted, http::Request wanted_request) {
     errand = wanted;
-    stream.write(request);
+    request = std::move(wanted_request);
     if (connected) {
-        state = State::Busy;
-        wait();
+        ask();
         return;
     }
     state = State::Opening;
     opening_ends = shared.clock.now() + shared.terms.connect_time;
-    wait();
-    if (!stream.open(address)) finish(Outcome::Moot);  // no descriptor: nothing was sent
-}
-
-void Link::wait() {
-    Micros until = state == State::Opening ? std::min(errand.limit, opening_ends) : errand.limit;
-    timer.set(until - shared.clock.now());
+    timer.set(std::min(errand.limit, opening_ends) - shared.clock.now());
+    if (!stream.open(address) && state == State::Opening) finish(Outcome::Moot);  // no descriptor is left
 }
 
 void Link::opened() {
     connected = true;
-    if (state != State::Opening) return;
+    if (state == State::Opening) ask();
+}
+
+// Written only now, when the budget is known: it would pass the client's time by what connecting took.
+void Link::ask() {
+    Micros budget = errand.limit - shared.clock.now();
+    if (budget < 1000) {
+        finish(Outcome::Moot);
+        return;
+    }
     state = State::Busy;
-    wait();
+    stream.write(request.text(budget));
+    timer.set(budget);
 }
 
 void Link::heard(std::string_view bytes) {
@@ -67,17 +71,12 @@
 }
 
 void Link::closed() {
-    if (state == State::Opening) {
+    if (state == State::Opening)
         finish(Outcome::Unconnected);
-    } else if (state == State::Busy && !reader.fresh() && reader.ended()) {
-        auto reply = reader.take();
-        auto outcome = http::outcome_of(reply);
-        finish(outcome, std::move(reply));
-    } else if (state == State::Busy) {
+    else if (state == State::Busy)
         finish(Outcome::Reset);
-    } else {
+    else
         state = State::Dead;
-    }
 }
 
 void Link::timed_out() {
--- a/src/node/link.hpp
+++ b/src/node/link.hpp
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "http/reply.hpp"
+#include "http/request.hpp"
 #include "node/clock.hpp"
 #include "node/loop.hpp"
 
@@ -28,7 +29,7 @@
     };
     Link(const Shared& shared, CacheId cache, const feed::Address& address);
 
-    void run(const Errand& errand, std::string_view request);
+    void run(const Errand& errand, http::Request request);
     void give_up();  // the errand is no longer wanted: the connection is closed
     void drop();     // the connection is closed; an errand that is out ends as broken
     bool usable() const { return state == State::Idle && !stream.dropped(); }
@@ -45,13 +46,14 @@
     void closed();
     void timed_out();
     void finish(Outcome outcome, http::Reply reply = {});
-    void wait();
+    void ask();
 
     const Shared& shared;
     feed::Address address;
     State state = State::Idle;
     bool connected = false;
     Micros opening_ends = 0;
+    http::Request request;
     http::ReplyReader reader;
     Timer timer;
     Stream stream;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -14,8 +14,8 @@
 constexpr Micros ms = 1000;
 // After SIGTERM clients go on coming for 0.4 s, and on open connections for 0.2 s more. SIGKILL follows after
 // the longest time limit, 3 s at most, and 0.7 s more.
-constexpr Micros arrivals_last = 900 * ms, quiet_for = 300 * ms, longest_counted = 3000 * ms,
-                 before_kill = 700 * ms, to_spare = 350 * ms, check_every = 20 * ms;
+constexpr Micros arrivals_last = 800 * ms, quiet_for = 200 * ms, longest_counted = 3000 * ms,
+                 before_kill = 700 * ms, to_spare = 450 * ms, to_flush = 200 * ms, check_every = 20 * ms;
 
 event_base* make_base() {
     auto* base = event_base_new();
@@ -56,7 +56,7 @@
             return gone >= arrivals_last && seen.now - seen.last_arrival >= quiet_for ? Phase::Finishing
                                                                                       : Phase::Leaving;
         case Phase::Finishing:
-            return seen.nothing_held || gone >= seen.longest_stay ? Phase::Over : Phase::Finishing;
+            return seen.nothing_held || gone >= seen.longest_stay + to_flush ? Phase::Over : Phase::Finishing;
         case Phase::Over:
             break;
     }
@@ -85,6 +85,10 @@
     pool.sweep();
     Seen seen{now, leave_at, last_arrival, longest_stay(launch.terms.longest_wait),
               turn.held() == 0 && front.idle()};
+    if (phase == Phase::Finishing && turn.held() > 0 && now - leave_at >= seen.longest_stay) {
+        log::warning("broken off at the end: {} lookups", turn.held());
+        turn.break_off_all();
+    }
     auto following = next(phase, seen);
     if (following == phase) return;
     phase = following;
@@ -96,7 +100,7 @@
         check.set(check_every);
     }
     if (phase == Phase::Finishing) front.stop_listening();
-    if (phase == Phase::Over) log::info("over: {} lookups broken off", turn.held());
+    if (phase == Phase::Over) log::info("over");
 }
 
 void Node::told_to_leave() {
--- a/src/node/pool.cpp
+++ b/src/node/pool.cpp
@@ -34,19 +34,19 @@
     place.idle.clear();
 }
 
-void Pool::send(CacheId cache, const Errand& errand, std::string_view request) {
+void Pool::send(CacheId cache, const Errand& errand, http::Request request) {
     auto found = places.find(cache);
     Link* link = found == places.end() ? nullptr : idle_link(found->second);
     if (!link && found != places.end() && make_room()) {
         all.push_back(std::make_unique<Link>(shared, cache, found->second.address));
         link = all.back().get();
     }
-    if (!link || errand.limit <= errand.sent) {  // nothing was sent, and it is not the cache's doing
+    if (!link) {  // nothing was sent, and it is not the cache's doing
         land(cache, errand, Outcome::Moot);
         return;
     }
     if (errand.round >= 0) out[{errand.lookup, errand.round}] = link;
-    link->run(errand, request);
+    link->run(errand, std::move(request));
 }
 
 // A connection that the far side has dropped meanwhile is passed over: that says nothing of the lookup.
@@ -95,6 +95,7 @@
 }
 
 void Pool::sweep() {
+    if (std::none_of(all.begin(), all.end(), [](auto& link) { return link->dead(); })) return;
     for (auto& [cache, place] : places) std::erase_if(place.idle, [](auto* link) { return !link->idle(); });
     std::erase_if(all, [](auto& link) { return link->dead(); });
 }
--- a/src/node/pool.hpp
+++ b/src/node/pool.hpp
@@ -17,7 +17,7 @@
 public:
     Pool(event_base* base, const site::Terms& terms, Clock& clock, Gathered& gathered, int most_links);
     void list(const feed::Listing& listing);
-    void send(CacheId cache, const Errand& errand, std::string_view request);
+    void send(CacheId cache, const Errand& errand, http::Request request);
     void give_up(LookupId lookup, int round);
     void sweep();  // between passes of the loop
     std::size_t links() const { return all.size(); }
--- a/src/node/turn.cpp
+++ b/src/node/turn.cpp
@@ -46,7 +46,7 @@
 
 void Turn::tell(Left& left) {
     auto found = open.find(left.lookup);
-    if (found == open.end() || found->second.caller.client != left.caller.client) return;
+    if (found == open.end() || found->second.caller != left.caller) return;
     found->second.answered = true;
     if (auto handle = router.find(left.lookup)) made(left.lookup, handle->left());
 }
@@ -132,9 +132,9 @@
 void Turn::send(Open& lookup, const Transmission& order) {
     Micros limit = lookup.facts.due;
     if (order.limit > 0) limit = std::min(limit, now + order.limit);
-    auto request = http::transmission(lookup.facts, order, limit - now, terms.traffic[lookup.facts.traffic],
-                                      lookup.have, lookup.body);
-    pool.send(order.cache, {lookup.facts.id, lookup.rounds++, now, limit}, request);
+    pool.send(order.cache, {lookup.facts.id, lookup.rounds++, now, limit},
+              http::transmission(lookup.facts, order, terms.traffic[lookup.facts.traffic], lookup.have,
+                                 lookup.body));
 }
 
 void Turn::break_off_all() {
--- a/src/thrift/message.cpp
+++ b/src/thrift/message.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <map>
-#include <optional>
 
 namespace quillgrade::thrift {
 
@@ -227,6 +226,15 @@
     return UnknownCall{seq, std::string(name)};
 }
 
+std::optional<std::int32_t> seq_of(const Message& message) {
+    return std::visit(
+        [](auto& call) -> std::optional<std::int32_t> {
+            if constexpr (requires { call.seq; }) return call.seq;
+            return std::nullopt;
+        },
+        message);
+}
+
 std::string handled(std::int32_t seq, std::string_view body, bool same) {
     return answer("invoke", seq, body, same, true);
 }
--- a/src/thrift/message.hpp
+++ b/src/thrift/message.hpp
@@ -2,6 +2,7 @@
 // value, and each answer is encoded in one go, its frame's length included.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -40,6 +41,8 @@
 // The traffic types' names stand in the order of the settings. Throws bytes::Malformed.
 Message decode(std::string_view frame, const std::vector<std::string>& traffic);
 
+std::optional<std::int32_t> seq_of(const Message& message);  // of a call that is owed an answer
+
 std::string handled(std::int32_t seq, std::string_view body, bool same);
 std::string rejected(std::int32_t seq, Micros come_back);
 std::string broken_off(std::int32_t seq);
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -15,7 +15,7 @@
 }
 
 TEST_CASE("p is 20 over the location's routers, held between one half and 1") {
-    auto facts = site();
+    auto facts = a_site();
     CHECK(Router(facts, 1).p == 1);
     facts.routers_by_zone[1] = 25;
     CHECK(Router(facts, 1).p == 0.8);
@@ -118,7 +118,7 @@
 // Guards against partner-schools-later's big-2: a parent was down, and the caches that said so were passed
 // by.
 TEST_CASE("an untold failure is laid to whichever of cache and source fails more in other company") {
-    auto facts = site();
+    auto facts = a_site();
     facts.notes = NotesTold::Hit;
     auto r = router(facts);
     auto handle = r.take(lookup(1), noon);
@@ -286,7 +286,7 @@
 
 // Guards against the fault of the first incident on partner-schools: a parent was told to fill from another.
 TEST_CASE("a lookup sent straight at a parent names the origin and no other parent as its source") {
-    auto facts = site();
+    auto facts = a_site();
     facts.direct = true;
     auto r = router(facts);
     for (CacheId id : {1, 2, 3}) find_server(r, id)->listed = Listed::Gone;
@@ -323,7 +323,7 @@
 }
 
 TEST_CASE("rule 2: an exclusive lookup that may have run is neither sent again nor rejected") {
-    auto facts = site();
+    auto facts = a_site();
     facts.traffic[0].effect = Effect::Exclusive;
     auto r = router(facts);
     Held held;
@@ -337,7 +337,7 @@
 }
 
 TEST_CASE("rule 2: a ticketed lookup stays in its group and inside its window") {
-    auto facts = site();
+    auto facts = a_site();
     facts.traffic[0].effect = Effect::Ticketed;
     facts.traffic[0].group = Group::Cell;
     auto r = router(facts);
@@ -352,7 +352,7 @@
 }
 
 TEST_CASE("rule 2: no second transmission beside the first where the site forbids it") {
-    auto facts = site();
+    auto facts = a_site();
     facts.second_copies = false;
     auto r = router(facts);
     Held held;
@@ -373,7 +373,7 @@
 }
 
 TEST_CASE("rule 4: a cold server has a budget over any window, fills included") {
-    auto facts = site();
+    auto facts = a_site();
     facts.ratings_are_links = true;
     auto r = router(facts);
     auto& cold = *find_server(r, 1);
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -1,7 +1,12 @@
 // State for the tests, built directly.
 #pragma once
 
+#include <map>
+
 #include "control.hpp"
+#include "http/reply.hpp"
+#include "site/site.hpp"
+#include "thrift/message.hpp"
 
 namespace quillgrade {
 
@@ -12,7 +17,7 @@
     return {400 * test_ms, 2, Effect::Rerunnable, Group::All, 4 * test_second, 0, false};
 }
 
-inline SiteFacts site() {
+inline SiteFacts a_site() {
     SiteFacts facts{};
     facts.traffic = {pages()};
     facts.routers = 4;
@@ -41,7 +46,7 @@
 }
 
 // Three caches (1 to 3), two parents (11, 12) and the origin (20).
-inline Router router(const SiteFacts& facts = site()) {
+inline Router router(const SiteFacts& facts = a_site()) {
     Router made(facts, 42);
     made.list({entry(1), entry(2), entry(3), entry(11, 1, 0), entry(12, 1, 0), entry(20, 2, 0)}, true, noon);
     return made;
@@ -55,4 +60,52 @@
     return {outcome, 100 * test_ms, 0, round, note, outcome == Outcome::Ok, cache, {}};
 }
 
+inline site::Terms terms() {
+    return {{"page", "order"},     {"central", "east"}, {"std", "parent", "origin"},
+            {"outstanding", "x1"}, 400 * test_ms,       30 * test_second,
+            6 * test_second};
+}
+
+inline http::Reply reply(int status, const std::string& body = "", bool never_ran = false) {
+    http::Reply made;
+    made.status = status;
+    made.body = body;
+    made.never_ran = never_ran;
+    return made;
+}
+
+// What clients send, written here by hand.
+inline std::string framed(const std::string& content) {
+    std::string out;
+    bytes::put_number(out, 4, content.size());
+    return out + content;
+}
+
+inline std::string text(const std::string& value) { return framed(value); }
+
+inline std::string head(int kind, const std::string& name, int seq) {
+    std::string out;
+    bytes::put_number(out, 4, 0x80010000u | static_cast<unsigned>(kind));
+    out += text(name);
+    bytes::put_number(out, 4, static_cast<unsigned>(seq));
+    return out;
+}
+
+inline std::map<std::string, std::string> call_fields() {
+    return {{"c", "page"}, {"i", "9b1f03aa5c7e2d41"}, {"d", "1500"}, {"o", "7f3a9c21e0b4d655"},
+            {"part", "3"}, {"group", "17"},           {"m", "412.5"}};
+}
+
+inline std::string arguments(const std::map<std::string, std::string>& fields, const std::string& body) {
+    std::string out("\x0d\0\1\x0b\x0b", 5);
+    bytes::put_number(out, 4, fields.size());
+    for (auto& [name, value] : fields) out += text(name) + text(value);
+    return out + std::string("\x0b\0\2", 3) + text(body) + '\0';
+}
+
+inline std::string invoke(int seq, const std::map<std::string, std::string>& fields,
+                          const std::string& body = "") {
+    return framed(head(1, "invoke", seq) + arguments(fields, body));
+}
+
 }  // namespace quillgrade
--- /dev/null
+++ b/tests/node_test.cpp
@@ -0,0 +1,174 @@
+#include "node/node.hpp"
+
+#include <doctest/doctest.h>
+
+#include "helpers.hpp"
+#include "launch/launch.hpp"
+
+using namespace quillgrade;
+using namespace quillgrade::node;
+
+TEST_CASE("time never runs backwards") {
+    CHECK(Clock::later(5, 3) == 5);
+    CHECK(Clock::later(5, 8) == 8);
+}
+
+TEST_CASE("the limits leave room for every use, and never more than there is") {
+    for (auto [memory, sockets] : {std::pair{192.0, 1024}, {64.0, 256}, {2048.0, 4096}, {16.0, 64}}) {
+        auto room = launch::divide(memory, sockets);
+        CHECK(room.clients >= sockets / 3);
+        CHECK(room.caches > 0);
+        CHECK(room.clients + room.caches < sockets);
+        CHECK(room.unsent <= memory * 1024 * 1024 / 4);
+    }
+    CHECK_THROWS_AS(launch::divide(1, 1024), site::Unusable);
+    CHECK_THROWS_AS(launch::divide(192, 10), site::Unusable);
+}
+
+TEST_CASE("what can't be used at the start is told") {
+    for (auto* bad : {"", "[]", "{}", "{\"name\": 3}", "{\"name\": \"n\", \"listen\": \"here\"}"})
+        CHECK_THROWS_AS(launch::read_launch(bad, nullptr, nullptr), site::Unusable);
+}
+
+TEST_CASE("the phases follow each other") {
+    Node::Seen seen{.now = noon,
+                    .told_to_leave = 0,
+                    .last_arrival = noon,
+                    .longest_stay = 3 * test_second,
+                    .nothing_held = false};
+    CHECK(Node::next(Phase::Starting, seen) == Phase::Serving);
+    CHECK(Node::next(Phase::Serving, seen) == Phase::Serving);
+    seen.told_to_leave = noon;
+    CHECK(Node::next(Phase::Serving, seen) == Phase::Leaving);
+    seen.now = noon + 600 * test_ms;  // clients may still come
+    CHECK(Node::next(Phase::Leaving, seen) == Phase::Leaving);
+    seen.now = noon + 900 * test_ms;
+    CHECK(Node::next(Phase::Leaving, seen) == Phase::Finishing);
+    seen.last_arrival = seen.now - 100 * test_ms;  // and some do
+    CHECK(Node::next(Phase::Leaving, seen) == Phase::Leaving);
+    CHECK(Node::next(Phase::Finishing, seen) == Phase::Finishing);
+    seen.nothing_held = true;
+    CHECK(Node::next(Phase::Finishing, seen) == Phase::Over);
+    seen.nothing_held = false;
+    seen.now = noon + 4 * test_second;
+    CHECK(Node::next(Phase::Finishing, seen) == Phase::Over);
+}
+
+// Guards against SIGKILL finding a lookup that is still held.
+TEST_CASE("a router that leaves is gone before it is killed") {
+    for (Micros wait : {1 * test_second, 3 * test_second, 6 * test_second})
+        CHECK(Node::longest_stay(wait) + 200 * test_ms < std::min(wait, 3 * test_second) + 700 * test_ms);
+}
+
+// A loop without a network: connections go to ports of 127.0.0.1 where nothing listens.
+struct Quiet {
+    static launch::Launch told() {
+        launch::Launch launch;
+        launch.facts = a_site();
+        launch.facts.traffic = {pages(), pages()};
+        launch.terms = terms();
+        return launch;
+    }
+    feed::Event caches(std::vector<CacheId> ids) {
+        feed::Listing listing{.complete = true, .caches = {}};
+        for (auto id : ids) listing.caches.push_back({{id, Listed::Ready, 6, 0, 7, 1, 0}, 0x7f000001, 1});
+        return {1, listing};
+    }
+    Arrived arrived(LookupId id, std::int32_t seq = 1) {
+        thrift::Lookup wanted;
+        wanted.facts = lookup(id);
+        wanted.facts.due = 0;
+        wanted.wait = 4 * test_second;
+        return {{1, seq}, wanted, noon};
+    }
+    template <class T>
+    std::vector<T> gathered_of() {
+        std::vector<T> found;
+        for (auto& value : gathered)
+            if (auto* one = std::get_if<T>(&value)) found.push_back(*one);
+        return found;
+    }
+    launch::Launch launch = told();
+    Owned<event_base> base{event_base_new()};
+    Clock clock;
+    Gathered gathered;
+    Front front{{base.get(), launch.terms, clock, gathered, false}, 8, 1'000'000};
+    Pool pool{base.get(), launch.terms, clock, gathered, 2};
+    Turn turn{launch, base.get(), gathered, front, pool};
+};
+
+TEST_CASE("a refused connection proves that nothing ran") {
+    Quiet quiet;
+    quiet.pool.list(std::get<feed::Listing>(quiet.caches({1}).what));
+    quiet.pool.send(1, {.lookup = 9, .round = 0, .sent = noon, .limit = quiet.clock.now() + test_second},
+                    http::probe());
+    while (quiet.gathered.empty()) event_base_loop(quiet.base.get(), EVLOOP_ONCE);
+    REQUIRE(quiet.gathered_of<Landed>().size() == 1);
+    CHECK(quiet.gathered_of<Landed>()[0].outcome == Outcome::Unconnected);
+    quiet.pool.sweep();
+    CHECK(quiet.pool.links() == 0);
+}
+
+TEST_CASE("a pool that is full sends nothing and says so, whatever the cache") {
+    Quiet quiet;
+    quiet.pool.list(std::get<feed::Listing>(quiet.caches({1}).what));
+    for (int round : {0, 1, 2})
+        quiet.pool.send(1,
+                        {.lookup = 9, .round = round, .sent = noon, .limit = quiet.clock.now() + test_second},
+                        http::probe());
+    CHECK(quiet.pool.links() == 2);
+    REQUIRE(quiet.gathered_of<Landed>().size() == 1);
+    CHECK(quiet.gathered_of<Landed>()[0].round == 2);
+    CHECK(quiet.gathered_of<Landed>()[0].outcome == Outcome::Moot);
+}
+
+TEST_CASE("a transmission given up before it was written never ran") {
+    Quiet quiet;
+    quiet.pool.list(std::get<feed::Listing>(quiet.caches({1}).what));
+    quiet.pool.send(1, {.lookup = 9, .round = 0, .sent = noon, .limit = quiet.clock.now() + test_second},
+                    http::probe());
+    quiet.pool.give_up(9, 0);
+    REQUIRE(quiet.gathered_of<Landed>().size() == 1);
+    CHECK(quiet.gathered_of<Landed>()[0].outcome == Outcome::Moot);
+    quiet.pool.give_up(9, 0);  // once is enough
+    CHECK(quiet.gathered_of<Landed>().size() == 1);
+}
+
+TEST_CASE("a turn takes a lookup, sends it and ends it once") {
+    Quiet quiet;
+    quiet.turn.take({quiet.caches({1, 2, 3}), quiet.arrived(9)}, noon);
+    CHECK(quiet.turn.held() == 1);
+    CHECK(quiet.pool.links() == 1);
+    auto whole = reply(200, "hello");
+    quiet.turn.take({Landed{9, 0, 1, Outcome::Ok, noon, whole}, Landed{9, 0, 1, Outcome::Ok, noon, whole}},
+                    noon + 100 * test_ms);
+    CHECK(quiet.turn.held() == 0);
+}
+
+TEST_CASE("an id in use is not taken a second time, and its abort leaves the first alone") {
+    Quiet quiet;
+    quiet.turn.take({quiet.caches({1, 2, 3}), quiet.arrived(9, 1), quiet.arrived(9, 2), Left{{1, 2}, 9}},
+                    noon);
+    CHECK(quiet.turn.held() == 1);
+    quiet.turn.take({Left{{1, 1}, 9}}, noon);
+    CHECK(quiet.turn.held() == 0);
+}
+
+// Guards against telling a client without a copy that its copy holds.
+TEST_CASE("'unchanged' handles only the lookup of a client that has a copy") {
+    Quiet quiet;
+    auto with = quiet.arrived(9);
+    with.lookup.have = "tag";
+    quiet.turn.take({quiet.caches({1, 2, 3}), with, quiet.arrived(10, 2)}, noon);
+    quiet.turn.take({Landed{9, 0, 1, Outcome::Ok, noon, reply(304)}}, noon + test_ms);
+    CHECK(quiet.turn.held() == 1);
+    quiet.turn.take({Landed{10, 0, 1, Outcome::Ok, noon, reply(304)}}, noon + test_ms);
+    CHECK(quiet.turn.held() == 1);  // it goes to another cache
+}
+
+TEST_CASE("at the end whatever is held is broken off") {
+    Quiet quiet;
+    quiet.turn.take({quiet.caches({1, 2, 3}), quiet.arrived(9)}, noon);
+    quiet.turn.break_off_all();
+    CHECK(quiet.turn.held() == 0);
+}
--- /dev/null
+++ b/tests/program_test.cpp
@@ -0,0 +1,215 @@
+// The program itself on loopback, between a client, a cache and a coordinator that stand here.
+#include <arpa/inet.h>
+#include <doctest/doctest.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <utility>
+
+#include "helpers.hpp"
+
+using namespace quillgrade;
+
+namespace {
+
+constexpr int patience_ms = 10'000;
+
+struct Socket {
+    int fd = -1;
+    explicit Socket(int fd) : fd(fd) {}
+    Socket(Socket&& other) : fd(std::exchange(other.fd, -1)) {}
+    ~Socket() {
+        if (fd >= 0) close(fd);
+    }
+    void send(const std::string& bytes) const { REQUIRE(write(fd, bytes.data(), bytes.size()) > 0); }
+    // Reads until `done` says that it is enough, or the far side has closed.
+    template <class Done>
+    std::string read(Done done) const {
+        std::string got;
+        while (!done(got)) {
+            pollfd ready{fd, POLLIN, 0};
+            REQUIRE(poll(&ready, 1, patience_ms) == 1);
+            char piece[4096];
+            auto length = ::read(fd, piece, sizeof piece);
+            if (length <= 0) break;
+            got.append(piece, static_cast<std::size_t>(length));
+        }
+        return got;
+    }
+    std::string frame() const {
+        return read(
+            [](auto& got) { return got.size() >= 4 && got.size() >= 4 + bytes::Cursor(got).number(4); });
+    }
+    std::string request() const {
+        return read([](auto& got) { return got.ends_with("\r\n\r\n"); });
+    }
+};
+
+sockaddr_in local(int port) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    return address;
+}
+
+struct Listener : Socket {
+    int port;
+    Listener() : Socket(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+        auto address = local(0);
+        socklen_t size = sizeof address;
+        REQUIRE(bind(fd, reinterpret_cast<sockaddr*>(&address), size) == 0);
+        REQUIRE(listen(fd, 16) == 0);
+        REQUIRE(getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) == 0);
+        port = ntohs(address.sin_port);
+    }
+    Socket accept() const {
+        pollfd ready{fd, POLLIN, 0};
+        REQUIRE(poll(&ready, 1, patience_ms) == 1);
+        return Socket(::accept(fd, nullptr, nullptr));
+    }
+};
+
+struct Program {
+    pid_t pid;
+    Socket log{-1};
+    explicit Program(const std::string& config) {
+        int ends[2];
+        REQUIRE(pipe(ends) == 0);
+        pid = fork();
+        if (pid == 0) {
+            dup2(ends[1], STDERR_FILENO);
+            setenv("PROXY_CONFIG", config.c_str(), 1);
+            unsetenv("PROXY_LISTEN");
+            unsetenv("PROXY_NAME");
+            execl(QUILLGRADE_PROGRAM, "quillgrade", nullptr);
+            _exit(127);
+        }
+        close(ends[1]);
+        log.fd = ends[0];
+    }
+    int exit_code() {
+        int status = 0;
+        waitpid(std::exchange(pid, -1), &status, 0);
+        return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    }
+    ~Program() {
+        if (pid <= 0) return;
+        kill(pid, SIGKILL);
+        waitpid(pid, nullptr, 0);
+    }
+};
+
+// A file that lasts as long as the test.
+struct File {
+    std::string path = "/tmp/quillgrade_test_" + std::to_string(getpid());
+    explicit File(const std::string& text) { std::ofstream(path) << text; }
+    ~File() { std::remove(path.c_str()); }
+};
+
+std::string config(int listen, int coordinator, int cache) {
+    auto grade = [](const char* name, const char* effect) {
+        return std::string("{\"name\":\"") + name + "\",\"promise\":300000,\"aim_stretch\":2,\"effect\":\"" +
+               effect + "\",\"dedup_scope\":\"all\",\"key_ttl\":5000000,\"deadline\":3000000}";
+    };
+    auto at = [](int port) { return "127.0.0.1:" + std::to_string(port); };
+    return R"({"name":"n1","listen":")" + at(listen) + R"(","seed":"8c1f30d27a5be964","coordinator":")" +
+           at(coordinator) + R"(","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+        "known":{"index":1,"updates":[{"index":1,"endpoints":{"version":1,"full":true,"servers":[
+         {"id":"s-00000001","addr":")" +
+           at(cache) +
+           R"(","zone":"east","kind":"std","cell":0,"state":"in_service","weight":4,"started_ms":0}]}}]},
+        "settings":{"balancers":1,"zone":1,"zones":["central","east"],"flavors":["std","parent","origin"],
+         "weights":"nominal","discovery":"push","grades":[)" +
+           grade("page", "retryable") + "," + grade("order", "fragile") + R"(],
+         "load_report":{"fields":["outstanding","x1"]},
+         "limits":{"attempts_cap":4,"second_copies":false,"cancel":true,"probes":false,"retry_after":true,
+          "max_retry_after":500000,"connect_timeout":400000,"keepalive":30000000},
+         "safety":{"cold_from":0.2,"fall_multiple":3,"cold":9000000,"overload_for":1000000},
+         "family_info":{"shield_kind":1,"master_kind":2,"fresh_for":[0,0],"pass_on":[false,false],
+          "count_by_zone":[0,1],"can_join":false,"direct":false,"notes_given":"hit","client_kb_per_s":7500,
+          "purge_done":6000000,"parent_cold_from":0.1,"parent_limit_factor":2,"parent_cold":9000000}}})";
+}
+
+std::string answer(const std::string& status, const std::string& body = "") {
+    return "HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::map<std::string, std::string> fields_of(const char* id, const char* type = "page") {
+    auto fields = call_fields();
+    fields["i"] = id;
+    fields["c"] = type;
+    return fields;
+}
+
+}  // namespace
+
+TEST_CASE("the program handles, rejects and breaks off lookups, and leaves on SIGTERM") {
+    int port;
+    {
+        Listener free_port;
+        port = free_port.port;
+    }
+    Listener coordinator, cache;
+    File file(config(port, coordinator.port, cache.port));
+    Program program(file.path);
+    program.log.read([](auto& got) { return got.find("serving as n1") != std::string::npos; });
+    auto feed = coordinator.accept();
+    CHECK(feed.read([](auto& got) { return got.size() >= 8; }) == std::string("\0\0\0\0\0\0\0\1", 8));
+
+    Socket client(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    auto address = local(port);
+    REQUIRE(connect(client.fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+    client.send(framed(head(1, "ping", 1) + std::string("\2\0\1\1\0", 5)));
+    CHECK(client.frame() == thrift::pong(1, true));
+
+    client.send(invoke(2, fields_of("00000000000000a1")));
+    auto link = cache.accept();
+    auto request = link.request();
+    CHECK(request.starts_with("GET /data/page/7f3a9c21e0b4d655/3 HTTP/1.1\r\n"));
+    CHECK(request.find("X-Hop-Id: 00000000000000a1\r\n") != std::string::npos);
+    link.send(answer("200 OK", "an object"));
+    CHECK(client.frame() == thrift::handled(2, "an object", false));
+
+    client.send(invoke(3, fields_of("00000000000000a2")));  // a miss, and there is nobody else to ask
+    link.request();
+    link.send(answer("404 Not Found"));
+    CHECK(client.frame() == thrift::rejected(3, 500 * test_ms));
+
+    client.send(invoke(4, fields_of("00000000000000a3", "order")));  // it may have run
+    link.request();
+    link.send(answer("500 Oops"));
+    CHECK(client.frame() == thrift::broken_off(4));
+
+    client.send(invoke(5, {{"i", "00000000000000a4"}}));  // fields are missing
+    CHECK(client.frame() == thrift::broken_off(5));
+
+    client.send(invoke(6, fields_of("00000000000000a5")));
+    link.request();
+    kill(program.pid, SIGTERM);
+    program.log.read([](auto& got) { return got.find("leaving") != std::string::npos; });
+    client.send(invoke(7, fields_of("00000000000000a6")));  // clients still come
+    auto second = cache.accept();
+    second.request();
+    second.send(answer("200 OK", "late"));
+    CHECK(client.frame() == thrift::handled(7, "late", false));
+    link.send(answer("200 OK", "held"));
+    CHECK(client.frame() == thrift::handled(6, "held", false));
+    CHECK(program.exit_code() == 0);
+}
+
+TEST_CASE("a configuration that can't be used ends the program with one line") {
+    File file("{\"name\": 3}");
+    Program program(file.path);
+    auto said = program.log.read([](auto&) { return false; });
+    CHECK(program.exit_code() == 1);
+    CHECK(std::count(said.begin(), said.end(), '\n') == 1);
+}
