Let silent clients make way for others, refuse names that can't stand in a path

Clients that connect and say nothing could hold every descriptor of clients; now the one silent longest makes way.

--- a/src/node/client.cpp
+++ b/src/node/client.cpp
@@ -13,6 +13,7 @@
 Client::Client(Shared& shared, int fd, ClientId id)
     : shared(shared),
       id(id),
+      heard_at(shared.clock.now()),
       stream(shared.base, fd,
              {.bytes = [this](std::string_view bytes) { heard(bytes); },
               .opened = [] {},
@@ -23,6 +24,7 @@
 
 void Client::heard(std::string_view bytes) {
     if (gone || closing) return;
+    heard_at = shared.clock.now();
     try {
         frames.add(bytes);
         while (auto frame = frames.next()) call(thrift::decode(*frame, shared.terms.traffic));
--- a/src/node/client.hpp
+++ b/src/node/client.hpp
@@ -26,6 +26,7 @@
     bool over() const;  // to be dropped between passes of the loop
     void hang_up();     // whatever is open, its client is gone
     bool idle() const { return open.empty() && stream.unsent() == 0; }
+    Micros last_heard() const { return heard_at; }
     std::size_t held() const { return stream.unsent() + frames.held_bytes(); }
 
 private:
@@ -38,6 +39,7 @@
     bytes::Frames frames{thrift::longest_frame};
     std::unordered_map<std::int32_t, LookupId> open;
     bool gone = false, closing = false;
+    Micros heard_at;
     Stream stream;
 };
 
--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -71,8 +71,14 @@
     if (found != clients.end()) found->second.answer(caller.seq, frame);
 }
 
-// Guards against clients that do not read: past the bound the one that holds most is hung up on.
 void Front::sweep() {
+    std::erase_if(clients, [](auto& client) { return client.second.over(); });
+    drop_unread();
+    if (clients.size() >= most_clients) drop_silent();
+}
+
+// Guards against clients that do not read: past the bound the one that holds most is hung up on.
+void Front::drop_unread() {
     std::size_t held = 0;
     for (auto& [id, client] : clients) held += client.held();
     while (held > most_held) {
@@ -83,7 +89,19 @@
         worst->second.hang_up();
         clients.erase(worst);
     }
-    std::erase_if(clients, [](auto& client) { return client.second.over(); });
+}
+
+// Guards against clients that connect and say nothing until no descriptor is left for others: the one with
+// nothing open that was silent longest makes way.
+void Front::drop_silent() {
+    auto longest = clients.end();
+    for (auto client = clients.begin(); client != clients.end(); client++)
+        if (client->second.idle() &&
+            (longest == clients.end() || client->second.last_heard() < longest->second.last_heard()))
+            longest = client;
+    if (longest == clients.end()) return;
+    clients.erase(longest);
+    if (paused) resume.set(0);
 }
 
 bool Front::idle() const {
--- a/src/node/front.hpp
+++ b/src/node/front.hpp
@@ -16,11 +16,14 @@
     void answer(const Caller& caller, std::string_view frame);
     void sweep();       // between passes of the loop
     bool idle() const;  // nothing open and nothing unsent
+    std::size_t connected() const { return clients.size(); }
 
 private:
     void accepted(int fd);
     void refused(int error);
     void pause(const char* why);
+    void drop_unread();
+    void drop_silent();
 
     Client::Shared shared;
     std::size_t most_clients, most_held;
--- a/src/site/site.cpp
+++ b/src/site/site.cpp
@@ -1,6 +1,7 @@
 #include "site/site.hpp"
 
 #include <algorithm>
+#include <cctype>
 #include <nlohmann/json.hpp>
 
 namespace quillgrade::site {
@@ -84,11 +85,24 @@
     }
 }
 
+namespace {
+
+// Names stand in paths as they are.
+std::string read_name(const json& told) {
+    auto name = told.get<std::string>();
+    auto plain = [](unsigned char c) { return std::isalnum(c) || c == '-' || c == '_' || c == '.'; };
+    if (name.empty() || !std::all_of(name.begin(), name.end(), plain))
+        throw Unusable("start-up settings: '" + name + "' can't stand in a path");
+    return name;
+}
+
+}  // namespace
+
 Terms read_terms(const json& boot) {
     try {
         Terms terms;
         for (auto& grade : boot.at("grades")) {
-            terms.traffic.push_back(grade.at("name").get<std::string>());
+            terms.traffic.push_back(read_name(grade.at("name")));
             terms.longest_wait = std::max(terms.longest_wait, grade.at("deadline").get<Micros>());
         }
         terms.zones = boot.at("zones").get<std::vector<std::string>>();
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -1,7 +1,13 @@
 // State for the tests, built directly.
 #pragma once
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <map>
+#include <utility>
 
 #include "control.hpp"
 #include "http/reply.hpp"
@@ -108,4 +114,39 @@
     return framed(head(1, "invoke", seq) + arguments(fields, body));
 }
 
+// Sockets of 127.0.0.1 for stand-ins.
+struct Socket {
+    int fd = -1;
+    explicit Socket(int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) : fd(fd) {}
+    Socket(Socket&& other) : fd(std::exchange(other.fd, -1)) {}
+    ~Socket() {
+        if (fd >= 0) close(fd);
+    }
+    bool send(const std::string& bytes) const { return write(fd, bytes.data(), bytes.size()) > 0; }
+    bool connect(int port) const {
+        auto address = local(port);
+        return ::connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
+    }
+    static sockaddr_in local(int port) {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        address.sin_port = htons(static_cast<std::uint16_t>(port));
+        return address;
+    }
+};
+
+struct Listener : Socket {
+    int port = 0;
+    Listener() {
+        auto address = local(0);
+        socklen_t size = sizeof address;
+        if (bind(fd, reinterpret_cast<sockaddr*>(&address), size) == 0 && listen(fd, 16) == 0 &&
+            getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) == 0)
+            port = ntohs(address.sin_port);
+    }
+};
+
+inline int free_port() { return Listener().port; }
+
 }  // namespace quillgrade
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -172,3 +172,55 @@
     quiet.turn.break_off_all();
     CHECK(quiet.turn.held() == 0);
 }
+
+// Guards against clients that connect and say nothing until nobody else is let in.
+TEST_CASE("a silent connection makes way for another, one with a lookup open does not") {
+    Quiet quiet;
+    int port = free_port();
+    quiet.front.listen({0x7f000001, static_cast<std::uint16_t>(port)});
+    Socket busy, silent[7], late;
+    REQUIRE(busy.connect(port));
+    REQUIRE(busy.send(invoke(1, call_fields())));
+    while (quiet.gathered.empty()) event_base_loop(quiet.base.get(), EVLOOP_ONCE);
+    for (auto& one : silent) REQUIRE(one.connect(port));
+    while (quiet.front.connected() < 8) event_base_loop(quiet.base.get(), EVLOOP_ONCE);
+    quiet.front.sweep();
+    CHECK(quiet.front.connected() == 7);
+    REQUIRE(late.connect(port));
+    while (quiet.front.connected() < 8) event_base_loop(quiet.base.get(), EVLOOP_ONCE);
+    CHECK(quiet.gathered_of<Left>().empty());
+}
+
+// Guards against memory that fills with answers which nobody reads.
+TEST_CASE("a client that does not read is hung up on past the bound") {
+    Quiet quiet;
+    int port = free_port();
+    quiet.front.listen({0x7f000001, static_cast<std::uint16_t>(port)});
+    Socket client;
+    REQUIRE(client.connect(port));
+    REQUIRE(client.send(invoke(1, call_fields()) + invoke(2, call_fields())));
+    while (quiet.gathered.size() < 2) event_base_loop(quiet.base.get(), EVLOOP_ONCE);
+    quiet.front.answer({1, 1}, std::string(2'000'000, 'x'));
+    quiet.front.sweep();
+    CHECK(quiet.front.connected() == 0);
+    CHECK(quiet.gathered_of<Left>().size() == 1);
+}
+
+// Guards against a bad frame that takes more than its own connection with it.
+TEST_CASE("a client that sends nonsense is let go once what is open has been answered") {
+    Quiet quiet;
+    int port = free_port();
+    quiet.front.listen({0x7f000001, static_cast<std::uint16_t>(port)});
+    Socket client;
+    REQUIRE(client.connect(port));
+    REQUIRE(client.send(invoke(1, call_fields()) + "GET / HTTP/1.1\r\n\r\n"));
+    while (quiet.gathered.empty()) event_base_loop(quiet.base.get(), EVLOOP_ONCE);
+    quiet.front.sweep();
+    CHECK(quiet.front.connected() == 1);
+    quiet.front.answer({1, 1}, thrift::broken_off(1));
+    while (quiet.front.connected() > 0) {
+        event_base_loop(quiet.base.get(), EVLOOP_ONCE);
+        quiet.front.sweep();
+    }
+    CHECK(quiet.gathered_of<Left>().empty());
+}
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -1,12 +1,8 @@
 // The program itself on loopback, between a client, a cache and a coordinator that stand here.
-#include <arpa/inet.h>
 #include <doctest/doctest.h>
-#include <netinet/in.h>
 #include <poll.h>
 #include <signal.h>
-#include <sys/socket.h>
 #include <sys/wait.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <cstdio>
@@ -22,61 +18,39 @@
 
 constexpr int patience_ms = 10'000;
 
-struct Socket {
-    int fd = -1;
-    explicit Socket(int fd) : fd(fd) {}
-    Socket(Socket&& other) : fd(std::exchange(other.fd, -1)) {}
-    ~Socket() {
-        if (fd >= 0) close(fd);
-    }
-    void send(const std::string& bytes) const { REQUIRE(write(fd, bytes.data(), bytes.size()) > 0); }
-    // Reads until `done` says that it is enough, or the far side has closed.
-    template <class Done>
-    std::string read(Done done) const {
-        std::string got;
-        while (!done(got)) {
-            pollfd ready{fd, POLLIN, 0};
-            REQUIRE(poll(&ready, 1, patience_ms) == 1);
-            char piece[4096];
-            auto length = ::read(fd, piece, sizeof piece);
-            if (length <= 0) break;
-            got.append(piece, static_cast<std::size_t>(length));
-        }
-        return got;
-    }
-    std::string frame() const {
-        return read(
-            [](auto& got) { return got.size() >= 4 && got.size() >= 4 + bytes::Cursor(got).number(4); });
-    }
-    std::string request() const {
-        return read([](auto& got) { return got.ends_with("\r\n\r\n"); });
+// Reads until `done` says that it is enough, or the far side has closed.
+template <class Done>
+std::string read(const Socket& from, Done done) {
+    std::string got;
+    while (!done(got)) {
+        pollfd ready{from.fd, POLLIN, 0};
+        REQUIRE(poll(&ready, 1, patience_ms) == 1);
+        char piece[4096];
+        auto length = ::read(from.fd, piece, sizeof piece);
+        if (length <= 0) break;
+        got.append(piece, static_cast<std::size_t>(length));
     }
-};
+    return got;
+}
 
-sockaddr_in local(int port) {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    address.sin_port = htons(static_cast<std::uint16_t>(port));
-    return address;
+std::string frame(const Socket& from) {
+    return read(from,
+                [](auto& got) { return got.size() >= 4 && got.size() >= 4 + bytes::Cursor(got).number(4); });
 }
 
-struct Listener : Socket {
-    int port;
-    Listener() : Socket(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
-        auto address = local(0);
-        socklen_t size = sizeof address;
-        REQUIRE(bind(fd, reinterpret_cast<sockaddr*>(&address), size) == 0);
-        REQUIRE(listen(fd, 16) == 0);
-        REQUIRE(getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) == 0);
-        port = ntohs(address.sin_port);
-    }
-    Socket accept() const {
-        pollfd ready{fd, POLLIN, 0};
-        REQUIRE(poll(&ready, 1, patience_ms) == 1);
-        return Socket(::accept(fd, nullptr, nullptr));
-    }
-};
+std::string request(const Socket& from) {
+    return read(from, [](auto& got) { return got.ends_with("\r\n\r\n"); });
+}
+
+std::string line(const Socket& from, const std::string& wanted) {
+    return read(from, [&](auto& got) { return got.find(wanted) != std::string::npos; });
+}
+
+Socket accept(const Listener& at) {
+    pollfd ready{at.fd, POLLIN, 0};
+    REQUIRE(poll(&ready, 1, patience_ms) == 1);
+    return Socket(::accept(at.fd, nullptr, nullptr));
+}
 
 struct Program {
     pid_t pid;
@@ -153,63 +127,58 @@
 }  // namespace
 
 TEST_CASE("the program handles, rejects and breaks off lookups, and leaves on SIGTERM") {
-    int port;
-    {
-        Listener free_port;
-        port = free_port.port;
-    }
+    int port = free_port();
     Listener coordinator, cache;
     File file(config(port, coordinator.port, cache.port));
     Program program(file.path);
-    program.log.read([](auto& got) { return got.find("serving as n1") != std::string::npos; });
-    auto feed = coordinator.accept();
-    CHECK(feed.read([](auto& got) { return got.size() >= 8; }) == std::string("\0\0\0\0\0\0\0\1", 8));
+    line(program.log, "serving as n1");
+    auto feed = accept(coordinator);
+    CHECK(read(feed, [](auto& got) { return got.size() >= 8; }) == std::string("\0\0\0\0\0\0\0\1", 8));
 
-    Socket client(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
-    auto address = local(port);
-    REQUIRE(connect(client.fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+    Socket client;
+    REQUIRE(client.connect(port));
     client.send(framed(head(1, "ping", 1) + std::string("\2\0\1\1\0", 5)));
-    CHECK(client.frame() == thrift::pong(1, true));
+    CHECK(frame(client) == thrift::pong(1, true));
 
     client.send(invoke(2, fields_of("00000000000000a1")));
-    auto link = cache.accept();
-    auto request = link.request();
-    CHECK(request.starts_with("GET /data/page/7f3a9c21e0b4d655/3 HTTP/1.1\r\n"));
-    CHECK(request.find("X-Hop-Id: 00000000000000a1\r\n") != std::string::npos);
+    auto link = accept(cache);
+    auto asked = request(link);
+    CHECK(asked.starts_with("GET /data/page/7f3a9c21e0b4d655/3 HTTP/1.1\r\n"));
+    CHECK(asked.find("X-Hop-Id: 00000000000000a1\r\n") != std::string::npos);
     link.send(answer("200 OK", "an object"));
-    CHECK(client.frame() == thrift::handled(2, "an object", false));
+    CHECK(frame(client) == thrift::handled(2, "an object", false));
 
     client.send(invoke(3, fields_of("00000000000000a2")));  // a miss, and there is nobody else to ask
-    link.request();
+    request(link);
     link.send(answer("404 Not Found"));
-    CHECK(client.frame() == thrift::rejected(3, 500 * test_ms));
+    CHECK(frame(client) == thrift::rejected(3, 500 * test_ms));
 
     client.send(invoke(4, fields_of("00000000000000a3", "order")));  // it may have run
-    link.request();
+    request(link);
     link.send(answer("500 Oops"));
-    CHECK(client.frame() == thrift::broken_off(4));
+    CHECK(frame(client) == thrift::broken_off(4));
 
     client.send(invoke(5, {{"i", "00000000000000a4"}}));  // fields are missing
-    CHECK(client.frame() == thrift::broken_off(5));
+    CHECK(frame(client) == thrift::broken_off(5));
 
     client.send(invoke(6, fields_of("00000000000000a5")));
-    link.request();
+    request(link);
     kill(program.pid, SIGTERM);
-    program.log.read([](auto& got) { return got.find("leaving") != std::string::npos; });
+    line(program.log, "leaving");
     client.send(invoke(7, fields_of("00000000000000a6")));  // clients still come
-    auto second = cache.accept();
-    second.request();
+    auto second = accept(cache);
+    request(second);
     second.send(answer("200 OK", "late"));
-    CHECK(client.frame() == thrift::handled(7, "late", false));
+    CHECK(frame(client) == thrift::handled(7, "late", false));
     link.send(answer("200 OK", "held"));
-    CHECK(client.frame() == thrift::handled(6, "held", false));
+    CHECK(frame(client) == thrift::handled(6, "held", false));
     CHECK(program.exit_code() == 0);
 }
 
 TEST_CASE("a configuration that can't be used ends the program with one line") {
     File file("{\"name\": 3}");
     Program program(file.path);
-    auto said = program.log.read([](auto&) { return false; });
+    auto said = read(program.log, [](auto&) { return false; });
     CHECK(program.exit_code() == 1);
     CHECK(std::count(said.begin(), said.end(), '\n') == 1);
 }
