Count a connection that does not come up as unconnected, read first-byte times

Seen by reading: libevent's timers run by a coarse clock and may fire some milliseconds early; a connection attempt that was given up a moment before its time then ended as moot, so that a vanished cache was not noted as unreachable. Wrong was Link::timed_out, which asked the clock which of two times had come.

--- a/src/http/reply.cpp
+++ b/src/http/reply.cpp
@@ -213,6 +213,8 @@
         reply.never_ran = value == "1";
     } else if (same_word(name, "X-Tell")) {
         reply.note = read_note(value);
+    } else if (same_word(name, "X-Ttfb")) {  // milliseconds
+        reply.waited = static_cast<Micros>(bytes::read_amount(value).value_or(0) * 1000);
     } else if (same_word(name, "X-Report")) {
         read_load(value);
     }
--- a/src/node/link.cpp
+++ b/src/node/link.cpp
@@ -83,7 +83,8 @@
     if (state == State::Idle) {
         state = State::Dead;
     } else if (state == State::Opening) {
-        finish(shared.clock.now() >= opening_ends ? Outcome::Unconnected : Outcome::Moot);
+        // Told by which of the two times came first: timers may be some milliseconds early.
+        finish(opening_ends <= errand.limit ? Outcome::Unconnected : Outcome::Moot);
     } else if (state == State::Busy) {
         finish(Outcome::Timeout);
     }
--- a/src/node/turn.cpp
+++ b/src/node/turn.cpp
@@ -63,8 +63,8 @@
     bool owed = found != open.end() && !found->second.answered;
     bool handles = owed && landed.outcome == Outcome::Ok;
     if (handles) found->second.answered = true;
-    AttemptEnd end{landed.outcome,   now - landed.sent, 0,         landed.round, reply.note,
-                   !owed || handles, landed.cache,      reply.load};
+    AttemptEnd end{landed.outcome, now - landed.sent, reply.waited, landed.round,
+                   reply.note,     !owed || handles,  landed.cache, reply.load};
     auto answer = handle->ended(end, now);
     made({landed.lookup, std::move(answer), handles ? std::optional(std::move(reply)) : std::nullopt});
 }
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -40,7 +40,8 @@
 }
 
 static const std::string answer =
-    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Tell: STALE\r\nx-report: inflight:7;x1:0.61\r\n\r\nhello";
+    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Tell: STALE\r\nX-Ttfb: 46.3\r\nx-report: "
+    "inflight:7;x1:0.61\r\n\r\nhello";
 
 TEST_CASE("an answer is whole however its bytes were cut") {
     for (std::size_t cut = 1; cut <= answer.size(); cut++) {
@@ -54,6 +55,7 @@
         auto reply = reader.take();
         CHECK(reply.body == "hello");
         CHECK(reply.note == Note::Old);
+        CHECK(reply.waited == 46300);
         CHECK(reply.load.count == 2);
         CHECK(reply.load.values[0] == 7);
         CHECK(reply.load.values[1] == doctest::Approx(0.61));
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -87,12 +87,11 @@
         return port;
     }
     // One transmission to cache 1, which stands at `port`.
-    void send(int port, int round) {
+    void send(int port, int round, Micros time = 9 * test_second) {
         auto listing = std::get<feed::Listing>(caches({1}).what);
         listing.caches[0].port = static_cast<std::uint16_t>(port);
         pool.list(listing);
-        pool.send(1, {.lookup = 9, .round = round, .sent = noon, .limit = clock.now() + 9 * test_second},
-                  http::probe());
+        pool.send(1, {.lookup = 9, .round = round, .sent = noon, .limit = clock.now() + time}, http::probe());
     }
     Landed landed() {
         pump([&] { return !gathered_of<Landed>().empty(); });
@@ -298,6 +297,24 @@
     CHECK(end.outcome == Outcome::Reset);
 }
 
+// Guards against a vanished machine that would not be noticed: a timer that fired early made its connections
+// count as time that had run out.
+TEST_CASE("a connection that does not come up in time says so, one whose lookup ends first does not") {
+    Quiet quiet;
+    quiet.launch.terms.connect_time = 30 * test_ms;
+    Listener cache;
+    REQUIRE(listen(cache.fd, 0) == 0);
+    std::vector<Socket> filling;  // what the listener has no room for gets no answer
+    for (int i = 0; i < 4; i++) {
+        filling.emplace_back(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+        filling.back().connect(cache.port);
+    }
+    quiet.send(cache.port, 0);
+    CHECK(quiet.landed().outcome == Outcome::Unconnected);
+    quiet.send(cache.port, 1, 10 * test_ms);
+    CHECK(quiet.landed().outcome == Outcome::Moot);
+}
+
 TEST_CASE("giving a transmission up closes its connection, and it may have run") {
     Quiet quiet;
     Listener cache;
