--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -24,11 +24,12 @@
       most_clients(static_cast<std::size_t>(most_clients)),
       most_held(most_held),
       resume(shared.base, [this] {
+          if (clients.size() >= this->most_clients) {
+              resume.set(pause_time);
+              return;
+          }
           paused = false;
-          if (clients.size() >= this->most_clients)
-              pause("as many clients are connected as descriptors allow");
-          else if (listener)
-              evconnlistener_enable(listener.get());
+          if (listener) evconnlistener_enable(listener.get());
       }) {}
 
 void Front::listen(const feed::Address& at) {
