Let a silent client make way when the system is out of descriptors

Seen in a probe with 24 descriptors and 40 clients that say nothing: the router neither spun nor stopped, but nobody else was let in until one of them left. Wrong was Front::refused, which only paused.

--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <utility>
 
 #include "log/log.hpp"
 
@@ -15,7 +16,7 @@
 namespace {
 
 constexpr int waiting_connections = 512;
-constexpr Micros pause_time = 100'000;
+constexpr Micros pause_time = 100'000, free_time = 1000;  // a descriptor is free a pass of the loop later
 
 }  // namespace
 
@@ -56,7 +57,10 @@
     if (clients.size() >= most_clients) pause("as many clients are connected as descriptors allow");
 }
 
-void Front::refused(int error) { pause(std::strerror(error)); }
+void Front::refused(int error) {
+    short_of_descriptors = error == EMFILE || error == ENFILE;
+    pause(std::strerror(error));
+}
 
 // Guards against a loop that spins on connections it can't take; they wait in the system's queue meanwhile.
 void Front::pause(const char* why) {
@@ -75,7 +79,7 @@
 void Front::sweep() {
     std::erase_if(clients, [](auto& client) { return client.second.over(); });
     drop_unread();
-    if (clients.size() >= most_clients) drop_silent();
+    if (clients.size() >= most_clients || std::exchange(short_of_descriptors, false)) drop_silent();
 }
 
 // Guards against clients that do not read: past the bound the one that holds most is hung up on.
@@ -102,7 +106,7 @@
             longest = client;
     if (longest == clients.end()) return;
     clients.erase(longest);
-    if (paused) resume.set(0);
+    if (paused) resume.set(free_time);
 }
 
 bool Front::idle() const {
--- a/src/node/front.hpp
+++ b/src/node/front.hpp
@@ -29,7 +29,7 @@
     std::size_t most_clients, most_held;
     std::map<ClientId, Client> clients;
     ClientId last_id = 0;
-    bool paused = false;
+    bool paused = false, short_of_descriptors = false;
     Timer resume;
     Owned<evconnlistener> listener;
 };
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -1,6 +1,7 @@
 #include "node/node.hpp"
 
 #include <doctest/doctest.h>
+#include <sys/resource.h>
 
 #include "helpers.hpp"
 #include "launch/launch.hpp"
@@ -93,6 +94,14 @@
         pool.list(listing);
         pool.send(1, {.lookup = 9, .round = round, .sent = noon, .limit = clock.now() + time}, http::probe());
     }
+    // The connection on which a stand-in for cache 1 was asked by then.
+    Socket asked(const Listener& cache) {
+        pump([&] { return readable(cache); });
+        auto link = accept(cache);
+        pump([&] { return readable(link); });
+        request(link);
+        return link;
+    }
     Landed landed() {
         pump([&] { return !gathered_of<Landed>().empty(); });
         auto first = gathered_of<Landed>().front();
@@ -230,6 +239,29 @@
     CHECK(quiet.gathered_of<Left>().empty());
 }
 
+// Guards against descriptors that run out below the limit told, all held by clients that say nothing.
+TEST_CASE("a silent connection makes way when the system has no descriptor for the next") {
+    Quiet quiet;
+    int port = quiet.listen();
+    Socket silent, late;
+    REQUIRE(silent.connect(port));
+    quiet.pump([&] { return quiet.front.connected() == 1; });
+    rlimit before{};
+    REQUIRE(getrlimit(RLIMIT_NOFILE, &before) == 0);
+    int lowest_free = dup(late.fd);
+    close(lowest_free);
+    rlimit none = before;
+    none.rlim_cur = static_cast<rlim_t>(lowest_free);
+    REQUIRE(setrlimit(RLIMIT_NOFILE, &none) == 0);
+    REQUIRE(late.connect(port));
+    quiet.pump([&] {
+        quiet.front.sweep();
+        return quiet.front.connected() == 0;
+    });
+    quiet.pump([&] { return quiet.front.connected() == 1; });
+    CHECK(setrlimit(RLIMIT_NOFILE, &before) == 0);
+}
+
 // Guards against memory that fills with answers which nobody reads.
 TEST_CASE("a client that does not read is hung up on past the bound") {
     Quiet quiet;
@@ -268,15 +300,14 @@
     Quiet quiet;
     Listener cache;
     quiet.send(cache.port, 0);
-    quiet.pump([&] { return Quiet::readable(cache); });
-    auto link = accept(cache);
-    for (int round : {0, 1}) {
-        if (round > 0) quiet.send(cache.port, round);
-        quiet.pump([&] { return Quiet::readable(link); });
-        request(link);
-        REQUIRE(link.send(whole));
-        CHECK(quiet.landed().outcome == Outcome::Ok);
-    }
+    auto link = quiet.asked(cache);
+    REQUIRE(link.send(whole));
+    CHECK(quiet.landed().outcome == Outcome::Ok);
+    quiet.send(cache.port, 1);
+    quiet.pump([&] { return Quiet::readable(link); });
+    request(link);
+    REQUIRE(link.send(whole));
+    CHECK(quiet.landed().outcome == Outcome::Ok);
     CHECK(quiet.pool.links() == 1);
 }
 
@@ -286,19 +317,13 @@
     Listener cache;
     quiet.send(cache.port, 0);
     {
-        quiet.pump([&] { return Quiet::readable(cache); });
-        auto first = accept(cache);
-        quiet.pump([&] { return Quiet::readable(first); });
-        request(first);
+        auto first = quiet.asked(cache);
         REQUIRE(first.send(whole));
         CHECK(quiet.landed().outcome == Outcome::Ok);
     }
     quiet.send(cache.port, 1);  // the loop has not told of the close yet
-    quiet.pump([&] { return Quiet::readable(cache); });
     {
-        auto second = accept(cache);
-        quiet.pump([&] { return Quiet::readable(second); });
-        request(second);
+        auto second = quiet.asked(cache);
         REQUIRE(second.send(whole.substr(0, whole.size() - 1)));
     }
     auto end = quiet.landed();
@@ -328,10 +353,7 @@
     Quiet quiet;
     Listener cache;
     quiet.send(cache.port, 0);
-    quiet.pump([&] { return Quiet::readable(cache); });
-    auto link = accept(cache);
-    quiet.pump([&] { return Quiet::readable(link); });
-    request(link);
+    auto link = quiet.asked(cache);
     quiet.pool.give_up(9, 0);
     CHECK(quiet.landed().outcome == Outcome::Cancelled);
     quiet.pump([&] { return Quiet::readable(link); });
