Read the configuration again on SIGHUP, and let waiting clients in at once

Now: SIGHUP sets a flag, the next step reads the file, moves the coordinator's connection and names what wants a restart; a bad file changes nothing. The front lets people in as soon as there is room, makes room by the connection silent longest (not one active within 50 ms), and lets go of connections mute for 2.2 s or idle for 5 s. The room of a long frame is given back.

--- a/src/bytes/bytes.cpp
+++ b/src/bytes/bytes.cpp
@@ -23,11 +23,19 @@
         out.push_back(static_cast<char>(value >> shift));
 }
 
+namespace {
+
+constexpr std::size_t much_room = 16'384;
+
+}  // namespace
+
 std::optional<std::string_view> Frames::next() {
     constexpr std::size_t head = 4;
     if (used > 0) {  // what was handed out before has been dealt with by now
         held.erase(0, used);
         used = 0;
+        // Guards against connections that each keep the room of their longest message for good.
+        if (held.empty() && held.capacity() > much_room) std::string().swap(held);
     }
     if (held.size() < head) return std::nullopt;
     auto length = Cursor(held).number(head);
--- a/src/bytes/bytes.hpp
+++ b/src/bytes/bytes.hpp
@@ -36,6 +36,7 @@
     void add(std::string_view more) { held.append(more); }
     std::optional<std::string_view> next();  // good until the next call; throws Malformed
     std::size_t held_bytes() const { return held.size() - used; }
+    std::size_t room() const { return held.capacity(); }
 
 private:
     std::size_t longest, used = 0;
--- a/src/feed/event.hpp
+++ b/src/feed/event.hpp
@@ -48,6 +48,7 @@
 struct Address {
     std::uint32_t host = 0;
     std::uint16_t port = 0;
+    bool operator==(const Address&) const = default;
 };
 Address read_address(std::string_view text);  // throws site::Unusable
 
--- a/src/launch/launch.cpp
+++ b/src/launch/launch.cpp
@@ -58,6 +58,7 @@
         launch.facts = site::read_facts(told.at("settings"));
         launch.terms = site::read_terms(told.at("settings"));
         launch.known = feed::read_known(told.at("known"), launch.terms);
+        for (auto& [member, value] : told.items()) launch.stated[member] = value.dump();
         return launch;
     } catch (const json::exception& error) {
         throw Unusable(error.what());
@@ -77,4 +78,18 @@
     }
 }
 
+std::vector<std::string> wants_restart(const Launch& before, const Launch& after) {
+    std::vector<std::string> differ;
+    auto compare = [&](auto& one, auto& other, bool both) {
+        for (auto& [member, value] : one) {
+            if (member == "coordinator" || member == "known") continue;
+            auto found = other.find(member);
+            if (found == other.end() || (both && found->second != value)) differ.push_back(member);
+        }
+    };
+    compare(before.stated, after.stated, true);
+    compare(after.stated, before.stated, false);
+    return differ;
+}
+
 }  // namespace quillgrade::launch
--- a/src/launch/launch.hpp
+++ b/src/launch/launch.hpp
@@ -1,7 +1,9 @@
 // What a router is told at its start: the PROXY_ variables and the file that PROXY_CONFIG names.
 #pragma once
 
+#include <map>
 #include <string>
+#include <vector>
 
 #include "control.hpp"
 #include "feed/event.hpp"
@@ -24,10 +26,14 @@
     SiteFacts facts{};
     site::Terms terms;
     feed::Known known;
+    std::map<std::string, std::string> stated;  // each member of the file as it stands there
 };
 
 Room divide(double memory_mb, int sockets);                                         // throws site::Unusable
 Launch read_launch(const std::string& text, const char* name, const char* listen);  // throws site::Unusable
 Launch from_environment();                                                          // throws site::Unusable
+// The members that only a restart takes in, of those in which two configurations differ. Where the
+// coordinator is can change while the router runs, and it tells what is known by itself.
+std::vector<std::string> wants_restart(const Launch& before, const Launch& after);
 
 }  // namespace quillgrade::launch
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,5 @@
 // Starts one router from what its environment tells.
+#include <csignal>
 #include <exception>
 
 #include "launch/launch.hpp"
@@ -6,6 +7,8 @@
 #include "node/node.hpp"
 
 int main() {
+    std::signal(SIGHUP,
+                SIG_IGN);  // until the router can read its configuration again, it is no reason to end
     try {
         auto launch = quillgrade::launch::from_environment();
         quillgrade::node::Node(launch).run();
--- a/src/node/client.cpp
+++ b/src/node/client.cpp
@@ -13,7 +13,7 @@
 Client::Client(Shared& shared, int fd, ClientId id)
     : shared(shared),
       id(id),
-      heard_at(shared.clock.now()),
+      active(shared.clock.now()),
       stream(shared.base, fd,
              {.bytes = [this](std::string_view bytes) { heard(bytes); },
               .opened = [] {},
@@ -24,10 +24,13 @@
 
 void Client::heard(std::string_view bytes) {
     if (gone || closing) return;
-    heard_at = shared.clock.now();
     try {
         frames.add(bytes);
-        while (auto frame = frames.next()) call(thrift::decode(*frame, shared.terms.traffic));
+        while (auto frame = frames.next()) {
+            call(thrift::decode(*frame, shared.terms.traffic));
+            active = shared.clock.now();
+            has_spoken = true;
+        }
     } catch (const bytes::Malformed& error) {
         // This connection has lost step: what is open on it is still settled, then it is closed.
         log::warning("client connection closed: {}", error.what());
@@ -67,7 +70,9 @@
 }
 
 void Client::answer(std::int32_t seq, std::string_view frame) {
-    if (!gone && open.erase(seq)) stream.write(frame);
+    if (gone || !open.erase(seq)) return;
+    stream.write(frame);
+    active = shared.clock.now();
 }
 
 void Client::hang_up() {
--- a/src/node/client.hpp
+++ b/src/node/client.hpp
@@ -26,7 +26,8 @@
     bool over() const;  // to be dropped between passes of the loop
     void hang_up();     // whatever is open, its client is gone
     bool idle() const { return open.empty() && stream.unsent() == 0; }
-    Micros last_heard() const { return heard_at; }
+    bool spoke() const { return has_spoken; }      // has sent a whole message
+    Micros last_active() const { return active; }  // when it connected, sent a whole message or was answered
     std::size_t held() const { return stream.unsent() + frames.held_bytes(); }
 
 private:
@@ -38,8 +39,8 @@
     ClientId id;
     bytes::Frames frames{thrift::longest_frame};
     std::unordered_map<std::int32_t, LookupId> open;
-    bool gone = false, closing = false;
-    Micros heard_at;
+    bool gone = false, closing = false, has_spoken = false;
+    Micros active;
     Stream stream;
 };
 
--- a/src/node/coordinator.cpp
+++ b/src/node/coordinator.cpp
@@ -40,6 +40,17 @@
     if (!stream->open(address)) lost("no descriptor");
 }
 
+// The new one is asked at once: what the old one has not told is told by nobody else.
+void Coordinator::move_to(const feed::Address& elsewhere) {
+    if (elsewhere == address) return;
+    log::info("coordinator moved, last event {}", last);
+    address = elsewhere;
+    up = false;
+    delay = first_delay;
+    again.stop();
+    connect();
+}
+
 // The old stream is let go of when the next one is made: this may be a call from it.
 void Coordinator::lost(std::string_view why) {
     if (waiting) return;
--- a/src/node/coordinator.hpp
+++ b/src/node/coordinator.hpp
@@ -13,6 +13,7 @@
 public:
     Coordinator(event_base* base, const feed::Address& address, const site::Terms& terms, std::uint64_t last,
                 Gathered& gathered);
+    void move_to(const feed::Address& elsewhere);  // between passes of the loop; the numbers go on
 
 private:
     void connect();
--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -16,7 +16,11 @@
 namespace {
 
 constexpr int waiting_connections = 512;
-constexpr Micros pause_time = 100'000, free_time = 1000;  // a descriptor is free a pass of the loop later
+constexpr Micros ms = 1000, pause_time = 100 * ms, tidy_every = 200 * ms;
+// Clients close a connection that was idle for 4 s, and ask as soon as they have connected.
+constexpr Micros longest_idle = 5000 * ms, longest_mute = 2200 * ms;
+// A lookup that crosses a close by less than this is sent again by its client.
+constexpr Micros still_fresh = 50 * ms;
 
 }  // namespace
 
@@ -24,14 +28,13 @@
     : shared(shared),
       most_clients(static_cast<std::size_t>(most_clients)),
       most_held(most_held),
-      resume(shared.base, [this] {
-          if (clients.size() >= this->most_clients) {
-              resume.set(pause_time);
-              return;
-          }
-          paused = false;
-          if (listener) evconnlistener_enable(listener.get());
-      }) {}
+      again(shared.base, [this] { resume(); }),
+      tidy(shared.base, [this] {
+          drop_overdue(this->shared.clock.now());
+          tidy.set(tidy_every);
+      }) {
+    tidy.set(tidy_every);
+}
 
 void Front::listen(const feed::Address& at) {
     sockaddr_in address{};
@@ -54,21 +57,27 @@
 void Front::accepted(int fd) {
     last_id++;
     clients.try_emplace(last_id, shared, fd, last_id);
-    if (clients.size() >= most_clients) pause("as many clients are connected as descriptors allow");
+    if (clients.size() >= most_clients) pause();
 }
 
+// No descriptor, or a connection that broke off before it was taken; either passes.
 void Front::refused(int error) {
     short_of_descriptors = error == EMFILE || error == ENFILE;
-    pause(std::strerror(error));
+    if (!short_of_descriptors) return;
+    log::warning("no new client connections for a moment: {}", std::strerror(error));
+    pause();
+    again.set(pause_time);
 }
 
 // Guards against a loop that spins on connections it can't take; they wait in the system's queue meanwhile.
-void Front::pause(const char* why) {
-    if (paused) return;
-    paused = true;
-    log::warning("no new client connections for a moment: {}", why);
+void Front::pause() {
+    if (std::exchange(paused, true)) return;
     if (listener) evconnlistener_disable(listener.get());
-    resume.set(pause_time);
+}
+
+void Front::resume() {
+    if (clients.size() >= most_clients || !std::exchange(paused, false)) return;
+    if (listener) evconnlistener_enable(listener.get());
 }
 
 void Front::answer(const Caller& caller, std::string_view frame) {
@@ -79,7 +88,20 @@
 void Front::sweep() {
     std::erase_if(clients, [](auto& client) { return client.second.over(); });
     drop_unread();
-    if (clients.size() >= most_clients || std::exchange(short_of_descriptors, false)) drop_silent();
+    if (std::exchange(short_of_descriptors, false)) {
+        drop_silent();
+        return;  // a descriptor is free a pass of the loop later, or after the pause
+    }
+    // Guards against lookups that wait unread in the system's queue, on connections that nobody takes: room
+    // is made as soon as it is needed, and whoever waits is let in in the same pass.
+    if (clients.size() >= most_clients && !drop_silent()) {
+        tidy.set(still_fresh);  // by then there may be one
+        if (!std::exchange(told_of_pause, true))
+            log::warning("no new client connections: all that descriptors allow are at work");
+    } else if (paused && !again.pending()) {
+        told_of_pause = false;
+        resume();
+    }
 }
 
 // Guards against clients that do not read: past the bound the one that holds most is hung up on.
@@ -96,17 +118,27 @@
     }
 }
 
-// Guards against clients that connect and say nothing until no descriptor is left for others: the one with
-// nothing open that was silent longest makes way.
-void Front::drop_silent() {
+// Guards against connections that are kept for nothing: of a client that has not sent one whole message in
+// time, or that has been idle for longer than a client that means to come back.
+void Front::drop_overdue(Micros now) {
+    std::erase_if(clients, [&](auto& entry) {
+        auto& client = entry.second;
+        return client.idle() && now - client.last_active() >= (client.spoke() ? longest_idle : longest_mute);
+    });
+}
+
+// Guards against clients that connect and stay until no descriptor is left for others: the one with nothing
+// open that was silent longest makes way. One that was active a moment ago may have a lookup on the way.
+bool Front::drop_silent() {
     auto longest = clients.end();
     for (auto client = clients.begin(); client != clients.end(); client++)
         if (client->second.idle() &&
-            (longest == clients.end() || client->second.last_heard() < longest->second.last_heard()))
+            (longest == clients.end() || client->second.last_active() < longest->second.last_active()))
             longest = client;
-    if (longest == clients.end()) return;
+    if (longest == clients.end() || shared.clock.now() - longest->second.last_active() < still_fresh)
+        return false;
     clients.erase(longest);
-    if (paused) resume.set(free_time);
+    return true;
 }
 
 bool Front::idle() const {
--- a/src/node/front.hpp
+++ b/src/node/front.hpp
@@ -14,23 +14,25 @@
     void stop_listening() { listener.reset(); }
     void set_ready(bool ready) { shared.ready = ready; }
     void answer(const Caller& caller, std::string_view frame);
-    void sweep();       // between passes of the loop
+    void sweep();  // between passes of the loop
+    void drop_overdue(Micros now);
     bool idle() const;  // nothing open and nothing unsent
     std::size_t connected() const { return clients.size(); }
 
 private:
     void accepted(int fd);
     void refused(int error);
-    void pause(const char* why);
+    void pause();
+    void resume();
     void drop_unread();
-    void drop_silent();
+    bool drop_silent();
 
     Client::Shared shared;
     std::size_t most_clients, most_held;
     std::map<ClientId, Client> clients;
     ClientId last_id = 0;
-    bool paused = false, short_of_descriptors = false;
-    Timer resume;
+    bool paused = false, short_of_descriptors = false, told_of_pause = false;
+    Timer again, tidy;
     Owned<evconnlistener> listener;
 };
 
--- a/src/node/loop.hpp
+++ b/src/node/loop.hpp
@@ -51,6 +51,7 @@
     Timer(event_base* base, std::function<void()> due);
     void set(Micros from_now);
     void stop() { evtimer_del(timer.get()); }
+    bool pending() const { return evtimer_pending(timer.get(), nullptr); }
 
 private:
     std::function<void()> due;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <exception>
 #include <new>
 #include <utility>
 
@@ -37,8 +38,11 @@
     std::signal(SIGPIPE, SIG_IGN);
     term.reset(evsignal_new(base.get(), SIGTERM, on_signal, this));
     interrupt.reset(evsignal_new(base.get(), SIGINT, on_signal, this));
-    if (!term || !interrupt || evsignal_add(term.get(), nullptr) || evsignal_add(interrupt.get(), nullptr))
-        throw std::bad_alloc();
+    hang_up.reset(evsignal_new(
+        base.get(), SIGHUP,
+        [](evutil_socket_t, short, void* self) { static_cast<Node*>(self)->told_to_read = true; }, this));
+    for (auto* signal : {&term, &interrupt, &hang_up})
+        if (!*signal || evsignal_add(signal->get(), nullptr)) throw std::bad_alloc();
 }
 
 Micros Node::longest_stay(Micros longest_wait) {
@@ -77,6 +81,7 @@
 }
 
 void Node::step() {
+    if (std::exchange(told_to_read, false)) read_again();
     auto now = clock.now();
     for (auto& value : gathered)
         if (std::holds_alternative<Arrived>(value)) last_arrival = now;
@@ -103,6 +108,20 @@
     if (phase == Phase::Over) log::info("over");
 }
 
+// SIGHUP. Guards against a router that ends with what it holds because of a file: whatever is wrong with the
+// new configuration, the old one stays.
+void Node::read_again() {
+    try {
+        auto told = launch::from_environment();
+        for (auto& member : launch::wants_restart(launch, told))
+            log::warning("configuration: '{}' has changed, which wants a restart", member);
+        coordinator.move_to(told.coordinator);
+        log::info("configuration read again");
+    } catch (const std::exception& error) {
+        log::warning("configuration not taken, the old one stays: {}", error.what());
+    }
+}
+
 void Node::told_to_leave() {
     if (leave_at == 0) leave_at = clock.now();
 }
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -33,6 +33,7 @@
 private:
     void step();
     void told_to_leave();
+    void read_again();
 
     const launch::Launch& launch;
     Owned<event_base> base;
@@ -45,7 +46,8 @@
     Phase phase = Phase::Starting;
     Micros leave_at = 0, last_arrival = 0;
     Timer check;
-    Owned<event> term, interrupt;
+    Owned<event> term, interrupt, hang_up;
+    bool told_to_read = false;
 };
 
 }  // namespace quillgrade::node
--- a/tests/bytes_test.cpp
+++ b/tests/bytes_test.cpp
@@ -43,3 +43,12 @@
     CHECK_THROWS_AS(in.number(2), Malformed);
     CHECK_THROWS_AS(in.piece(~std::uint64_t{0}), Malformed);
 }
+
+// Guards against connections that each keep the room of their longest message for good.
+TEST_CASE("the room of a long frame is let go once the frame has been dealt with") {
+    Frames frames(300'000);
+    frames.add(std::string("\0\4\0\0", 4) + std::string(262'144, 'x'));
+    CHECK(frames.next()->size() == 262'144);
+    CHECK_FALSE(frames.next());
+    CHECK(frames.room() <= 16'384);
+}
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -31,6 +31,14 @@
         CHECK_THROWS_AS(launch::read_launch(bad, nullptr, nullptr), site::Unusable);
 }
 
+TEST_CASE("a configuration read again says what only a restart takes in") {
+    launch::Launch before, after;
+    before.stated = {{"coordinator", "1"}, {"known", "1"}, {"name", "1"}, {"limits", "1"}};
+    after.stated = {{"coordinator", "2"}, {"known", "2"}, {"name", "1"}, {"limits", "2"}, {"peers", "1"}};
+    CHECK(launch::wants_restart(before, before).empty());
+    CHECK(launch::wants_restart(before, after) == std::vector<std::string>{"limits", "peers"});
+}
+
 TEST_CASE("the phases follow each other") {
     Node::Seen seen{.now = noon,
                     .told_to_leave = 0,
@@ -232,6 +240,10 @@
     quiet.pump([&] { return !quiet.gathered.empty(); });
     for (auto& one : silent) REQUIRE(one.connect(port));
     quiet.pump([&] { return quiet.front.connected() == 8; });
+    quiet.front.sweep();  // the last of them may have a lookup on the way
+    CHECK(quiet.front.connected() == 8);
+    auto start = quiet.clock.now();
+    quiet.pump([&] { return quiet.clock.now() - start > 60 * test_ms; });
     quiet.front.sweep();
     CHECK(quiet.front.connected() == 7);
     REQUIRE(late.connect(port));
@@ -239,6 +251,49 @@
     CHECK(quiet.gathered_of<Left>().empty());
 }
 
+// Guards against lookups that wait in the system's queue while each pause lets in one connection more, which
+// its client has long closed.
+TEST_CASE("connections that end at once hold up nobody behind them") {
+    Quiet quiet;
+    int port = quiet.listen();
+    Socket busy[7], late;
+    for (int i = 0; i < 7; i++) {
+        auto fields = call_fields();
+        fields["i"].back() = static_cast<char>('0' + i);
+        REQUIRE(busy[i].connect(port));
+        REQUIRE(busy[i].send(invoke(1, fields)));
+    }
+    quiet.pump([&] { return quiet.gathered_of<Arrived>().size() == 7; });
+    for (int i = 0; i < 40; i++) REQUIRE(Socket().connect(port));
+    REQUIRE(late.connect(port));
+    REQUIRE(late.send(invoke(1, call_fields())));
+    auto start = quiet.clock.now();
+    quiet.pump([&] {
+        quiet.front.sweep();
+        return quiet.gathered_of<Arrived>().size() == 8;
+    });
+    CHECK(quiet.clock.now() - start < test_second);
+}
+
+// Guards against connections that are kept for nothing, and against letting go of one that is at work.
+TEST_CASE("a client that says nothing is let go, later one that was idle, never one with a lookup open") {
+    Quiet quiet;
+    int port = quiet.listen();
+    Socket busy, idle, half;
+    for (auto* one : {&busy, &idle, &half}) REQUIRE(one->connect(port));
+    REQUIRE(busy.send(invoke(1, call_fields())));
+    REQUIRE(half.send(invoke(1, call_fields()).substr(0, 30)));
+    REQUIRE(idle.send(framed(head(1, "ping", 1) + std::string(1, '\0'))));
+    quiet.pump([&] { return !quiet.gathered.empty() && Quiet::readable(idle); });
+    quiet.front.drop_overdue(quiet.clock.now() + test_second);
+    CHECK(quiet.front.connected() == 3);
+    quiet.front.drop_overdue(quiet.clock.now() + 3 * test_second);
+    CHECK(quiet.front.connected() == 2);
+    quiet.front.drop_overdue(quiet.clock.now() + 60 * test_second);
+    CHECK(quiet.front.connected() == 1);
+    CHECK(quiet.gathered_of<Left>().empty());
+}
+
 // Guards against descriptors that run out below the limit told, all held by clients that say nothing.
 TEST_CASE("a silent connection makes way when the system has no descriptor for the next") {
     Quiet quiet;
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -138,6 +138,29 @@
     CHECK(program.exit_code() == 0);
 }
 
+// Guards against a signal that ends the program, and against one that hears an old coordinator only.
+TEST_CASE("on SIGHUP the program asks a new coordinator, and keeps the old one where the file is bad") {
+    int port = free_port();
+    Listener first, second, cache;
+    File file(config(port, first.port, cache.port));
+    Program program(file.path);
+    auto feed = accept(first);
+    line(program.log, "serving as n1");
+    std::ofstream(file.path) << "{\"name\":";
+    kill(program.pid, SIGHUP);
+    line(program.log, "configuration not taken");
+    std::ofstream(file.path) << config(port, second.port, cache.port);
+    kill(program.pid, SIGHUP);
+    auto moved = accept(second);
+    CHECK(read(moved, [](auto& got) { return got.size() >= 8; }) == std::string("\0\0\0\0\0\0\0\1", 8));
+    Socket client;
+    REQUIRE(client.connect(port));
+    client.send(framed(head(1, "ping", 1) + std::string(1, '\0')));
+    CHECK(frame(client) == thrift::pong(1, true));
+    kill(program.pid, SIGTERM);
+    CHECK(program.exit_code() == 0);
+}
+
 TEST_CASE("a configuration that can't be used ends the program with one line") {
     File file("{\"name\": 3}");
     Program program(file.path);
