Leave caches all descriptors but the clients', bound memory by the bytes there

Now the caches' share is what descriptors leave, and a quarter of the memory bounds the bytes of answers that are under way; past it the longest is given up, which counts against no cache.

--- a/src/http/reply.hpp
+++ b/src/http/reply.hpp
@@ -31,6 +31,7 @@
     // Takes bytes in pieces of any size; true once the answer is whole. Throws bytes::Malformed.
     bool add(std::string_view more);
     Reply take();  // the whole answer; the reader is ready for the next
+    std::size_t held_bytes() const { return held.size() + reply.body.size(); }
     bool fresh() const { return part == Part::Head && held.empty(); }  // nothing of an answer has come
 
 private:
--- a/src/launch/launch.cpp
+++ b/src/launch/launch.cpp
@@ -14,7 +14,6 @@
 using site::Unusable;
 
 constexpr int other_descriptors = 24;  // log, listener, loop, signals, coordinator, and some to spare
-constexpr double bytes_a_transmission = 600'000;  // an answer, and its copy on the way to the client
 
 // Guards against amounts that no deployment has; only a kind that the site lacks is told as -1.
 void check_amounts(const json& told) {
@@ -27,8 +26,9 @@
 }  // namespace
 
 // Clients hold a third of the descriptors at most; four tenths are theirs, and what is left serves the
-// caches, as far as memory holds an answer for each of them. A quarter of memory may wait for clients that
-// read slowly.
+// caches. Memory is bounded by the bytes that are there, a quarter of it each for clients that read slowly
+// and for answers under way: with a place for the longest answer set aside for every connection, a router of
+// 32 MB had 27 transmissions out at most and turned away what its caches had room for.
 Room divide(double memory_mb, int sockets) {
     double bytes = memory_mb * 1024 * 1024;
     if (!(memory_mb >= 16 && memory_mb <= 1e7)) throw Unusable("limits: under 16 MB or beyond measure");
@@ -36,9 +36,8 @@
         throw Unusable("limits: under 64 descriptors or beyond measure");
     Room room;
     room.clients = sockets * 2 / 5;
-    room.caches = std::min(sockets - room.clients - other_descriptors,
-                           static_cast<int>(std::min(bytes / 2 / bytes_a_transmission, 1e6)));
-    room.unsent = static_cast<std::size_t>(bytes / 4);
+    room.caches = sockets - room.clients - other_descriptors;
+    room.unsent = room.coming = static_cast<std::size_t>(bytes / 4);
     return room;
 }
 
--- a/src/launch/launch.hpp
+++ b/src/launch/launch.hpp
@@ -16,6 +16,7 @@
     int clients = 0;         // connections
     int caches = 0;          // connections
     std::size_t unsent = 0;  // bytes of answers that clients have not read
+    std::size_t coming = 0;  // bytes of answers that caches have begun
 };
 
 struct Launch {
--- a/src/node/link.hpp
+++ b/src/node/link.hpp
@@ -35,6 +35,7 @@
     bool usable() const { return state == State::Idle && !stream.dropped(); }
     bool idle() const { return state == State::Idle; }
     bool dead() const { return state == State::Dead; }
+    std::size_t coming() const { return state == State::Busy ? reader.held_bytes() : 0; }
 
     const CacheId cache;
     Errand errand;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -30,7 +30,7 @@
     : launch(launch),
       base(make_base()),
       front({base.get(), launch.terms, clock, gathered, false}, launch.room.clients, launch.room.unsent),
-      pool(base.get(), launch.terms, clock, gathered, launch.room.caches),
+      pool(base.get(), launch.terms, clock, gathered, launch.room.caches, launch.room.coming),
       turn(launch, base.get(), gathered, front, pool),
       coordinator(base.get(), launch.coordinator, launch.terms, launch.known.last, gathered),
       check(base.get(), [this] { check.set(check_every); }) {
--- a/src/node/pool.cpp
+++ b/src/node/pool.cpp
@@ -2,11 +2,15 @@
 
 #include <algorithm>
 
+#include "log/log.hpp"
+
 namespace quillgrade::node {
 
-Pool::Pool(event_base* base, const site::Terms& terms, Clock& clock, Gathered& gathered, int most_links)
+Pool::Pool(event_base* base, const site::Terms& terms, Clock& clock, Gathered& gathered, int most_links,
+           std::size_t most_coming)
     : gathered(gathered),
       most_links(static_cast<std::size_t>(most_links)),
+      most_coming(most_coming),
       shared{base, terms, clock, [this](Link& link, Outcome outcome, http::Reply reply) {
                  ended(link, outcome, std::move(reply));
              }} {}
@@ -94,7 +98,23 @@
             Landed{errand.lookup, errand.round, cache, outcome, errand.sent, std::move(reply)});
 }
 
+// Guards against memory that fills with answers under way: past the bound the transmission that holds most is
+// given up. That is no fault of its cache.
+void Pool::bound_coming() {
+    std::size_t coming = 0;
+    for (auto& link : all) coming += link->coming();
+    while (coming > most_coming) {
+        auto& worst = *std::max_element(all.begin(), all.end(),
+                                        [](auto& a, auto& b) { return a->coming() < b->coming(); });
+        coming -= worst->coming();
+        log::warning("answer given up: {} bytes of it have come, and memory for answers is full",
+                     worst->coming());
+        worst->give_up();
+    }
+}
+
 void Pool::sweep() {
+    bound_coming();
     if (std::none_of(all.begin(), all.end(), [](auto& link) { return link->dead(); })) return;
     for (auto& [cache, place] : places) std::erase_if(place.idle, [](auto* link) { return !link->idle(); });
     std::erase_if(all, [](auto& link) { return link->dead(); });
--- a/src/node/pool.hpp
+++ b/src/node/pool.hpp
@@ -15,7 +15,8 @@
 
 class Pool {
 public:
-    Pool(event_base* base, const site::Terms& terms, Clock& clock, Gathered& gathered, int most_links);
+    Pool(event_base* base, const site::Terms& terms, Clock& clock, Gathered& gathered, int most_links,
+         std::size_t most_coming);
     void list(const feed::Listing& listing);
     void send(CacheId cache, const Errand& errand, http::Request request);
     void give_up(LookupId lookup, int round);
@@ -33,9 +34,10 @@
     void forget(Place& place);
     Link* idle_link(Place& place);
     bool make_room();
+    void bound_coming();
 
     Gathered& gathered;
-    std::size_t most_links;
+    std::size_t most_links, most_coming;
     Link::Shared shared;
     std::unordered_map<CacheId, Place> places;
     std::vector<std::unique_ptr<Link>> all;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -20,12 +20,17 @@
         CHECK(room.clients >= sockets / 3);
         CHECK(room.caches > 0);
         CHECK(room.clients + room.caches < sockets);
-        CHECK(room.unsent <= memory * 1024 * 1024 / 4);
+        CHECK(room.unsent + room.coming <= memory * 1024 * 1024 / 2);
     }
     CHECK_THROWS_AS(launch::divide(1, 1024), site::Unusable);
     CHECK_THROWS_AS(launch::divide(192, 10), site::Unusable);
 }
 
+// Guards against few transmissions at a time where memory is small: answers are far shorter than the longest.
+TEST_CASE("a small memory leaves the caches all descriptors that are not the clients'") {
+    CHECK(launch::divide(32, 256).caches > 120);
+}
+
 TEST_CASE("what can't be used at the start is told") {
     for (auto* bad : {"", "[]", "{}", "{\"name\": 3}", "{\"name\": \"n\", \"listen\": \"here\"}"})
         CHECK_THROWS_AS(launch::read_launch(bad, nullptr, nullptr), site::Unusable);
@@ -111,7 +116,10 @@
         return link;
     }
     Landed landed() {
-        pump([&] { return !gathered_of<Landed>().empty(); });
+        pump([&] {
+            pool.sweep();
+            return !gathered_of<Landed>().empty();
+        });
         auto first = gathered_of<Landed>().front();
         gathered.clear();
         pool.sweep();
@@ -141,7 +149,7 @@
     Clock clock;
     Gathered gathered;
     Front front{{base.get(), launch.terms, clock, gathered, false}, 8, 1'000'000};
-    Pool pool{base.get(), launch.terms, clock, gathered, 2};
+    Pool pool{base.get(), launch.terms, clock, gathered, 2, 100'000};
     Turn turn{launch, base.get(), gathered, front, pool};
 };
 
@@ -415,6 +423,24 @@
     CHECK(read(link, [](auto&) { return false; }).empty());
 }
 
+// Guards against memory that fills with answers under way.
+TEST_CASE("past the bound the longest answer under way is given up, which says nothing against its cache") {
+    Quiet quiet;
+    Listener cache;
+    std::vector<Socket> links;
+    for (int round : {0, 1}) {
+        quiet.send(cache.port, round);
+        links.push_back(quiet.asked(cache));
+        REQUIRE(links.back().send("HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" +
+                                  std::string(round == 0 ? 40'000 : 70'000, 'x')));
+    }
+    auto end = quiet.landed();
+    CHECK(end.round == 1);
+    CHECK(end.outcome == Outcome::Cancelled);
+    quiet.pump([&] { return Quiet::readable(links[1]); });  // it is closed
+    CHECK(quiet.pool.links() == 1);
+}
+
 TEST_CASE("the coordinator is asked again from the last event after a frame that can't be read") {
     Quiet quiet;
     Listener stand_in;
