Weigh the link's last report by what is out now, so that it is not shed in waves

A probe of each cache's reports showed one value repeated in all 16 samples: a report is made each 0.2 to 0.8 s and repeated by every answer, so link_crowd (control.cpp) took a mean of copies up to 2 s old, held everything back, let everything go when it read 0, and saw 12 to 19 times full a second later.

Now each cache's last report counts, in proportion to what the router has out at its sources by now over what it had out in the last 2 s (at most once). Ruled out: cold budgets, no cache left, connections (0 rejections each).

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 #include <utility>
 
 namespace quillgrade {
@@ -61,9 +62,7 @@
 
 double mean(const std::vector<double>& values, double none) {
     if (values.empty()) return none;
-    double sum = 0;
-    for (double value : values) sum += value;
-    return sum / values.size();
+    return std::accumulate(values.begin(), values.end(), 0.0) / values.size();
 }
 
 double median(std::vector<double> values, double none) {
@@ -73,11 +72,7 @@
     return *middle;
 }
 
-std::vector<double> all(const Samples& samples) {
-    std::vector<double> values;
-    for (auto& sample : samples) values.push_back(sample.value);
-    return values;
-}
+std::vector<double> all(const Samples& samples) { return recent(samples, 0); }
 
 // Rendezvous hashing: each object orders all servers in its own way, in proportion to their ratings.
 double draw_of(ObjectId object, const Server& server, bool rated) {
@@ -125,9 +120,7 @@
 
 double rate(const Samples& finished, Micros now) {
     if (finished.size() < enough) return 0;
-    double sum = 0;
-    for (auto& sample : finished) sum += sample.value;
-    return sum / std::max<Micros>(now - finished.front().at, 100 * ms);
+    return mean(all(finished), 0) * finished.size() / std::max<Micros>(now - finished.front().at, 100 * ms);
 }
 
 // Rate times time: as many lookups as the server answers, as measured, within a usual goal time.
@@ -231,14 +224,14 @@
         if (is_cold(router, *source, now)) add(source->spent, now, work, 1024);
     }
     Answer answer;
-    answer.send = Transmission{.cache = cache.id,
-                               .source = source_id,
-                               .rank = held.keep ? kept_rank : 0,
-                               .oldest = oldest_allowed(router, held.facts, now),
-                               .limit = 0,
-                               .join = router.joins,
-                               .renew = held.keep && type.fresh > 0,
-                               .held_only = held.held_only};
+    answer.send = {.cache = cache.id,
+                   .source = source_id,
+                   .rank = held.keep ? kept_rank : 0,
+                   .oldest = oldest_allowed(router, held.facts, now),
+                   .limit = 0,
+                   .join = router.joins,
+                   .renew = held.keep && type.fresh > 0,
+                   .held_only = held.held_only};
     answer.look_in = std::max<Micros>(1, std::min(left_of(held, now), std::max(look_every, 2 * expected)));
     return answer;
 }
@@ -588,13 +581,23 @@
     return used.size() < enough ? 0 : mean(used, 0);
 }
 
-// How full the location's link is, as its caches report; nothing is said of it as 0.
+double out_at_sources(const Router& router) {
+    double out = 0;
+    for (auto& server : router.servers) out += is_edge(router, server) ? 0 : server.in_flight.size();
+    return out;
+}
+
+// How full the location's link is, as its caches report; nothing is said of it as 0. Answers repeat a report
+// until the next is made, so each cache's last one counts, in proportion to what this router has out by now
+// over what it had out meanwhile. Guards against a link that is left empty while reports still call it
+// jammed, and then jammed again by all that was held back.
 double link_crowd(const Router& router, Micros now) {
     std::vector<double> used;
     for (auto& server : router.servers)
-        if (is_edge(router, server))
-            for (double value : recent(server.link_use, now, report_life)) used.push_back(value);
-    return mean(used, 0);
+        if (auto told = recent(server.link_use, now, report_life); is_edge(router, server) && !told.empty())
+            used.push_back(told.back());
+    double meanwhile = mean(recent(router.out, now, report_life), 0);
+    return mean(used, 0) * std::min(1.0, (out_at_sources(router) + 1) / (meanwhile + 1));
 }
 
 // Rate times time for what a traffic type fills through the location's link: of the lookups that name a
@@ -635,9 +638,8 @@
 // where the crowd would have passed by itself within a goal time.
 bool too_large(const Router& router, const Held& held, double crowd, double from, double to, bool by_work) {
     double share = std::clamp((to - crowd) / (to - from), 0.05, 1.0);
-    if (share == 1) return false;
     auto sizes = all(router.traffic[held.facts.traffic].sizes);
-    if (sizes.size() < enough) return false;
+    if (share == 1 || sizes.size() < enough) return false;
     std::sort(sizes.begin(), sizes.end());
     double room = share * (by_work ? mean(sizes, 0) * sizes.size() : sizes.size());
     auto cut = sizes.begin();
@@ -694,9 +696,7 @@
     if (cache) hear(router, *cache, end.load, now);
     router.told_in_answers |= end.load.count > 0;
     if (cache && !ours) {
-        if (end.outcome != Outcome::Timeout && end.outcome != Outcome::Unconnected) {
-            reached(*cache, now);
-        }
+        if (end.outcome != Outcome::Timeout && end.outcome != Outcome::Unconnected) reached(*cache, now);
         if (end.outcome == Outcome::Unconnected && cache->unreached_at == 0) cache->unreached_at = now;
         if (by_cache && end.outcome != Outcome::Miss)
             add(cache->verdicts, now, ok ? 0 : 1, few, source && !hit ? source->id : 0);
@@ -799,11 +799,10 @@
     Server* server = find_server(*this, id);
     if (!server) return;
     hear(*this, *server, load, now);
-    if (outcome == Outcome::Ok) {
+    if (outcome == Outcome::Ok)
         reached(*server, now);
-    } else if (server->unreached_at == 0) {
+    else if (server->unreached_at == 0)
         server->unreached_at = now;
-    }
 }
 
 // Probes what has gone quiet and reports changes of favour.
@@ -811,6 +810,7 @@
     Upkeep upkeep;
     upkeep.look_in = tend_every;
     upkeep.subscribe = std::exchange(want_list, false);
+    add(out, now, out_at_sources(*this), many);
     bool deaf = probes && link_use_at >= 0 && !told_in_answers;  // then one cache is asked in turn
     for (auto& server : servers)
         if (is_edge(*this, server) && !recent(server.link_use, now, listen_every).empty()) deaf = false;
--- a/src/control.hpp
+++ b/src/control.hpp
@@ -249,6 +249,7 @@
     bool want_list = false;
     bool told_in_answers = false;  // load reports come with answers, not only with probes
     Samples taken;                 // lookups
+    Samples out;                   // transmissions at sources, seen by tend()
     double credit = 0;             // further transmissions that good answers have paid for
 };
 
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -274,6 +274,24 @@
     CHECK(link_crowd(r, noon + 9 * test_second) == 0);
 }
 
+// Guards against a link that is left empty while reports still call it jammed.
+TEST_CASE("a report of the link counts in proportion to what is out by now") {
+    auto r = router();
+    for (int i = 0; i < 3; i++) find_server(r, 1)->link_use.push_back({noon, 12});
+    for (int i = 0; i < 4; i++) r.out.push_back({noon, 23});
+    CHECK(link_crowd(r, noon) == doctest::Approx(0.5));
+    find_server(r, 11)->in_flight.resize(11);
+    CHECK(link_crowd(r, noon) == doctest::Approx(6.0));
+    find_server(r, 11)->in_flight.resize(90);
+    CHECK(link_crowd(r, noon) == doctest::Approx(12.0));
+}
+
+TEST_CASE("a cache's last report of the link is the one that counts") {
+    auto r = router();
+    for (double use : {8.0, 8.0, 8.0, 2.0}) find_server(r, 1)->link_use.push_back({noon, use});
+    CHECK(link_crowd(r, noon) == doctest::Approx(2.0));
+}
+
 TEST_CASE("one parent serves alone and none means the origin") {
     auto r = router();
     Held held;
