Keep nothing of caches that have gone, and move lookups that still wait there

Router::look left a lookup alone whose cache was not known.

Now a cache that is gone is let go of in both places, its connections are closed as they come free, and a lookup that still waits at it counts as waiting at a cache under complaint.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -312,13 +312,14 @@
             server->unreached_at = server->back_since = 0;
         }
         server->listed = entry.listed;
-        if (entry.listed == Listed::Gone) continue;
         server->rating = entry.rating;
         server->kind = entry.kind;
         server->cell = entry.cell;
         server->zone = entry.zone;
         server->started = entry.started;
     }
+    // Guards against memory that grows as caches come and go under ever new ids.
+    std::erase_if(servers, [](auto& server) { return server.listed == Listed::Gone; });
 }
 
 void Router::list_failed() { want_list = true; }
@@ -772,7 +773,7 @@
         if (round.out) {
             out++;
             Server* at = find_server(router, round.cache);
-            if (!at || !complaint(router, *at, now)) return answer;
+            if (at && !complaint(router, *at, now)) return answer;
             if (!holds(held.failed_at, round.cache)) held.failed_at.push_back(round.cache);
         }
     if (out != 1) return answer;
--- a/src/node/pool.cpp
+++ b/src/node/pool.cpp
@@ -16,21 +16,28 @@
              }} {}
 
 void Pool::list(const feed::Listing& listing) {
-    if (listing.complete)
-        for (auto& [cache, place] : places)
-            if (std::none_of(listing.caches.begin(), listing.caches.end(),
-                             [&](auto& endpoint) { return endpoint.entry.id == cache; }))
-                forget(place);
+    auto listed = [&](CacheId cache) {
+        return std::any_of(listing.caches.begin(), listing.caches.end(),
+                           [&](auto& endpoint) { return endpoint.entry.id == cache; });
+    };
     for (auto& endpoint : listing.caches) {
         auto& place = places[endpoint.entry.id];
         feed::Address address{endpoint.address, endpoint.port};
+        place.gone = endpoint.entry.listed == Listed::Gone;
         // Connections to a process that has gone, or to another address, are of no more use.
-        if (endpoint.entry.listed == Listed::Gone || endpoint.entry.started > place.started ||
-            address.host != place.address.host || address.port != place.address.port)
-            forget(place);
+        if (endpoint.entry.started > place.started || address != place.address) forget(place);
         place.address = address;
         place.started = endpoint.entry.started;
     }
+    // Guards against memory that grows as caches come and go under ever new ids.
+    for (auto place = places.begin(); place != places.end();) {
+        if (place->second.gone || (listing.complete && !listed(place->first))) {
+            forget(place->second);
+            place = places.erase(place);
+        } else {
+            place++;
+        }
+    }
 }
 
 void Pool::forget(Place& place) {
@@ -86,7 +93,11 @@
 
 void Pool::ended(Link& link, Outcome outcome, http::Reply reply) {
     out.erase({link.errand.lookup, link.errand.round});
-    if (link.idle()) places[link.cache].idle.push_back(&link);
+    auto place = places.find(link.cache);
+    if (link.idle() && place != places.end())
+        place->second.idle.push_back(&link);
+    else
+        link.drop();  // its cache has gone meanwhile, or it is dead already
     land(link.cache, link.errand, outcome, std::move(reply));
 }
 
--- a/src/node/pool.hpp
+++ b/src/node/pool.hpp
@@ -22,11 +22,13 @@
     void give_up(LookupId lookup, int round);
     void sweep();  // between passes of the loop
     std::size_t links() const { return all.size(); }
+    std::size_t caches() const { return places.size(); }
 
 private:
     struct Place {
         feed::Address address;
         Micros started = 0;
+        bool gone = false;
         std::vector<Link*> idle;  // the one used last at the end
     };
     void ended(Link& link, Outcome outcome, http::Reply reply);
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -292,6 +292,20 @@
     CHECK(link_crowd(r, noon) == doctest::Approx(2.0));
 }
 
+// Guards against memory that grows as caches come and go under ever new ids.
+TEST_CASE("nothing is kept of a server that has gone, and a lookup that waits there moves on") {
+    auto r = router();
+    auto handle = r.take(lookup(1), noon);
+    auto first = handle.place(noon).send->cache;
+    auto gone = entry(first);
+    gone.listed = Listed::Gone;
+    r.list({gone, entry(20, 2, 0)}, false, noon);
+    CHECK(r.servers.size() == 5);
+    auto moved = handle.look(noon + test_second);
+    REQUIRE(moved.send);
+    CHECK(moved.send->cache != first);
+}
+
 TEST_CASE("one parent serves alone and none means the origin") {
     auto r = router();
     Held held;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -165,6 +165,24 @@
     CHECK(quiet.pool.links() == 0);
 }
 
+// Guards against memory that grows as caches come and go under ever new ids.
+TEST_CASE("nothing is kept of a cache that has gone, and its connection is not used again") {
+    Quiet quiet;
+    Listener cache;
+    quiet.send(cache.port, 0);
+    auto link = quiet.asked(cache);
+    quiet.pool.list(std::get<feed::Listing>(quiet.caches({2}).what));
+    CHECK(quiet.pool.caches() == 1);
+    REQUIRE(link.send("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"));
+    CHECK(quiet.landed().outcome == Outcome::Miss);
+    CHECK(quiet.pool.links() == 0);
+    auto gone = std::get<feed::Listing>(quiet.caches({2}).what);
+    gone.complete = false;
+    gone.caches[0].entry.listed = Listed::Gone;
+    quiet.pool.list(gone);
+    CHECK(quiet.pool.caches() == 0);
+}
+
 TEST_CASE("a pool that is full sends nothing and says so, whatever the cache") {
     Quiet quiet;
     quiet.pool.list(std::get<feed::Listing>(quiet.caches({1}).what));
