--- a/src/control.cpp
+++ b/src/control.cpp
@@ -34,8 +34,8 @@
 constexpr double bad_share = 0.3, far_worse = 2.5;  // failing or slow beside its peers
 constexpr std::size_t enough = 6;
 constexpr Micros trial_every = 500 * ms, judge_every = 50 * ms;
-constexpr double trial_gaps = 20;       // lookups that this router takes for each trial of a server
-constexpr Micros flight_wait = second;  // past its sending time by more, a lookup waits for its fill
+constexpr double trial_gaps = 20, clearly = 3;  // lookups taken for each trial; times as quick
+constexpr Micros flight_wait = second;          // past its sending time by more, a lookup waits for its fill
 constexpr double least_in_flight = 6;
 
 // Guards.
@@ -398,8 +398,7 @@
 // What speaks against a server now, nullptr if nothing: each sign is measured against its peers, so that
 // trouble which all of them share (a slow origin, a crowd) is not laid at the door of one. Only where the
 // notes tell a parent's own failures from the origin's do parents not excuse each other: then the origin can
-// serve instead.
-// Peers change slowly, so the comparison with them holds for a moment.
+// serve instead. Peers change slowly, so the comparison with them holds for a moment.
 const char* complaint(const Router& router, const Server& server, Micros now) {
     if (server.unreached_at > 0) return "unreachable";
     if (silence(server, now) > unusual_silence) return "silent";
@@ -451,8 +450,9 @@
     return mean(times, average);
 }
 
-// Of the object's first two parents the one with the lower smoothed first-byte time; a parent that was not
-// heard from lately counts as average, one alone serves alone, and none means the origin.
+// Of the object's first two parents the one with the lower smoothed first-byte time, the first one unless the
+// second is clearly quicker: else chance moves every object to and fro, and each is fetched and kept twice. A
+// parent that was not heard from lately counts as average, one alone serves alone, none means the origin.
 CacheId pick_source(Router& router, const Held& held, Micros now) {
     Server* origin = origin_of(router);
     double work = mean_sending(router.traffic[held.facts.traffic]);
@@ -472,7 +472,7 @@
             continue;
         }
         double time = first_byte_time(*parent, average, now);
-        if (!best || time < best_time) {
+        if (!best || clearly * time < best_time) {
             best = parent;
             best_time = time;
         }
