Let what one client sends cost only itself, and a probe never sent say nothing

Now a size that could not be sent in time is no measure, a time limit over twice the settings' longest is broken off, bodies count with what is held for a client, and a probe that was never sent is passed over.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -25,14 +25,13 @@
 constexpr int kept_rank = 2;
 
 // Measurements: enough samples to tell a trend, few enough that a recovery shows within seconds.
-constexpr std::size_t few = 16, many = 64;
+constexpr std::size_t few = 16, many = 64, enough = 6;
 constexpr Micros sample_life = 5 * second, first_byte_life = 20 * second, report_life = 2 * second;
 
 // Judging servers.
 constexpr double unusual_silence = 8;  // mean gaps; an exponential gap is that long once in 3,000 times
 constexpr Micros least_gap = 30 * ms, unknown_gap = 200 * ms;
 constexpr double bad_share = 0.3, far_worse = 2.5;  // failing or slow beside its peers
-constexpr std::size_t enough = 6;
 constexpr Micros trial_every = 500 * ms, judge_every = 50 * ms;
 constexpr double trial_gaps = 20, clearly = 3;  // lookups taken for each trial; times as quick
 constexpr Micros flight_wait = second;          // past its sending time by more, a lookup waits for its fill
@@ -539,8 +538,8 @@
     Held& lookup = held[facts.id] = Held{.facts = facts, .taken = now};
     add(taken, now, 1);
     if (facts.kbytes > 0) {
-        lookup.sending = static_cast<Micros>(facts.kbytes / kb_per_us);
-        add(type.sizes, now, lookup.sending, many);
+        lookup.sending = static_cast<Micros>(facts.kbytes / kb_per_us);  // one too large may be made up
+        if (lookup.sending <= facts.due - now) add(type.sizes, now, lookup.sending, many);
     } else if (auto name = names.find(facts.object); name != names.end() && name->second.sending > 0) {
         lookup.sending = name->second.sending;
     } else {
@@ -802,7 +801,7 @@
     hear(*this, *server, load, now);
     if (outcome == Outcome::Ok)
         reached(*server, now);
-    else if (server->unreached_at == 0)
+    else if (outcome != Outcome::Moot && server->unreached_at == 0)  // else nothing was sent
         server->unreached_at = now;
 }
 
--- a/src/node/client.cpp
+++ b/src/node/client.cpp
@@ -49,8 +49,8 @@
     } else if (auto* abort = std::get_if<thrift::Abort>(&message)) {
         auto found = open.find(abort->of);  // an answer may have crossed it
         if (found == open.end()) return;
-        shared.gathered.emplace_back(Left{{id, found->first}, found->second});
-        open.erase(found);
+        shared.gathered.emplace_back(Left{{id, found->first}, found->second.lookup});
+        settle(abort->of);
     } else if (auto* bad = std::get_if<thrift::BadLookup>(&message)) {
         log::warning("lookup broken off: its {} is missing or can't be used", bad->why);
         stream.write(thrift::broken_off(bad->seq));
@@ -64,21 +64,38 @@
         stream.write(thrift::broken_off(lookup.seq));
         return;
     }
-    open[lookup.seq] = lookup.facts.id;
+    // Guards against lookups that hold their room, and a connection to a cache, for as long as a client
+    // likes.
+    if (lookup.wait > 2 * shared.terms.longest_wait) {
+        log::warning("lookup broken off: its time limit is far beyond the settings'");
+        stream.write(thrift::broken_off(lookup.seq));
+        return;
+    }
+    open[lookup.seq] = {lookup.facts.id, lookup.body.size()};
+    bodies += lookup.body.size();
     Caller caller{id, lookup.seq};
     shared.gathered.emplace_back(Arrived{caller, std::move(lookup), shared.clock.now()});
 }
 
 void Client::answer(std::int32_t seq, std::string_view frame) {
-    if (gone || !open.erase(seq)) return;
+    if (gone || !settle(seq)) return;
     stream.write(frame);
     active = shared.clock.now();
 }
 
+bool Client::settle(std::int32_t seq) {
+    auto found = open.find(seq);
+    if (found == open.end()) return false;
+    bodies -= found->second.body;
+    open.erase(found);
+    return true;
+}
+
 void Client::hang_up() {
     gone = true;
-    for (auto& [seq, lookup] : open) shared.gathered.emplace_back(Left{{id, seq}, lookup});
+    for (auto& [seq, one] : open) shared.gathered.emplace_back(Left{{id, seq}, one.lookup});
     open.clear();
+    bodies = 0;
 }
 
 }  // namespace quillgrade::node
--- a/src/node/client.hpp
+++ b/src/node/client.hpp
@@ -28,17 +28,23 @@
     bool idle() const { return open.empty() && stream.unsent() == 0; }
     bool spoke() const { return has_spoken; }      // has sent a whole message
     Micros last_active() const { return active; }  // when it connected, sent a whole message or was answered
-    std::size_t held() const { return stream.unsent() + frames.held_bytes(); }
+    std::size_t held() const { return stream.unsent() + frames.held_bytes() + bodies; }
 
 private:
     void heard(std::string_view bytes);
     void call(thrift::Message message);
     void lookup(thrift::Lookup lookup);
+    bool settle(std::int32_t seq);  // nothing is owed for it any more; false if nothing was
 
     Shared& shared;
     ClientId id;
     bytes::Frames frames{thrift::longest_frame};
-    std::unordered_map<std::int32_t, LookupId> open;
+    struct Open {
+        LookupId lookup;
+        std::size_t body;
+    };
+    std::unordered_map<std::int32_t, Open> open;
+    std::size_t bodies = 0;  // bytes that came with the lookups that are open
     bool gone = false, closing = false, has_spoken = false;
     Micros active;
     Stream stream;
--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -104,7 +104,8 @@
     }
 }
 
-// Guards against clients that do not read: past the bound the one that holds most is hung up on.
+// Guards against clients that do not read, or send much at once: past the bound the one that holds most is
+// hung up on.
 void Front::drop_unread() {
     std::size_t held = 0;
     for (auto& [id, client] : clients) held += client.held();
@@ -112,7 +113,7 @@
         auto worst = std::max_element(clients.begin(), clients.end(),
                                       [](auto& a, auto& b) { return a.second.held() < b.second.held(); });
         held -= worst->second.held();
-        log::warning("client hung up on: it left {} bytes unread", worst->second.held());
+        log::warning("client hung up on: {} bytes are held for it", worst->second.held());
         worst->second.hang_up();
         clients.erase(worst);
     }
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -320,6 +320,24 @@
     CHECK(pick_source(r, held, noon) == second);
 }
 
+// Guards against a client whose made-up sizes move what counts as large, and as much, for everybody else.
+TEST_CASE("a size that could not be sent in time is no measure of others") {
+    auto r = router();
+    auto huge = lookup(1);
+    huge.kbytes = 1e9;
+    CHECK(r.take(huge, noon).place(noon).final == Final::Rejected);
+    CHECK(r.traffic[0].sizes.empty());
+}
+
+// Guards against a cache that looks unreachable because this router had no connection left for a probe.
+TEST_CASE("a probe that was never sent says nothing of its cache") {
+    auto r = router();
+    r.probed(1, Outcome::Moot, 0, {}, noon);
+    CHECK_FALSE(complaint(r, *find_server(r, 1), noon));
+    r.probed(1, Outcome::Timeout, 0, {}, noon);
+    CHECK(complaint(r, *find_server(r, 1), noon));
+}
+
 TEST_CASE("one parent serves alone and none means the origin") {
     auto r = router();
     Held held;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -357,6 +357,35 @@
     CHECK(quiet.gathered_of<Left>().size() == 1);
 }
 
+// Guards against memory that fills with what clients send.
+TEST_CASE("a client that sends more than the bound at once is hung up on") {
+    Quiet quiet;
+    int port = quiet.listen();
+    Socket client;
+    REQUIRE(client.connect(port));
+    for (int seq = 1; seq <= 6; seq++) {
+        REQUIRE(client.send(invoke(seq, call_fields(), std::string(200'000, 'x'))));
+        quiet.pump([&] { return quiet.gathered_of<Arrived>().size() == static_cast<std::size_t>(seq); });
+    }
+    quiet.front.sweep();
+    CHECK(quiet.front.connected() == 0);
+    CHECK(quiet.gathered_of<Left>().size() == 6);
+}
+
+// Guards against lookups that hold their room for as long as a client likes.
+TEST_CASE("a time limit far beyond the settings is not taken") {
+    Quiet quiet;
+    int port = quiet.listen();
+    Socket client;
+    REQUIRE(client.connect(port));
+    auto fields = call_fields();
+    fields["d"] = "12001";
+    REQUIRE(client.send(invoke(1, fields)));
+    quiet.pump([&] { return Quiet::readable(client); });
+    CHECK(frame(client) == thrift::broken_off(1));
+    CHECK(quiet.gathered.empty());
+}
+
 // Guards against a bad frame that takes more than its own connection with it.
 TEST_CASE("a client that sends nonsense is let go once what is open has been answered") {
     Quiet quiet;
