Send one copy of a lookup whose answer is overdue while there is room

A probe in link.cpp named 600 transmissions that got no answer or only its beginning by the time limit, on all caches, old and new connections alike. Handle::look moves a lookup only from a cache under complaint, so each waited out its limit, and fill_crowd counted it as work at its parent and then as a failed fill: up to 167 of 238 lookups a second went out for what is held only. Ruled out: a cache, reused connections, the link, the origin.

Now a rerunnable lookup later than 0.95 of its type's last answers gets one copy, where copies are allowed, hits and the link are not crowded and good answers have paid for it.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -1,10 +1,9 @@
 // The decisions of quillgrade, all of them. The interface and the state are in control.hpp.
 //
-// One Router stands for one router process. Its owner hands it the list of caches (list), purges (purged) and
-// probe results (probed), and calls tend() when that has asked for it. Each lookup is taken with take(),
-// which gives a handle; place() starts it and ended(), accepted(), look() and left() tell what happened to it
-// later. Each call answers what is to be sent. Nothing here knows a clock, a file or a name: the time comes
-// with each call and chance from the seed. The design is CacheShield; docs/design.md tells what has changed.
+// One Router stands for one router process; its owner calls tend() when that has asked for it, and all that
+// happens to a lookup is a call on its handle. Each call answers what is to be sent. Nothing here knows a
+// clock, a file or a name: the time comes with each call and chance from the seed. docs/design.md tells the
+// design.
 #include "control.hpp"
 
 #include <algorithm>
@@ -31,21 +30,18 @@
 // Judging servers.
 constexpr double unusual_silence = 8;  // mean gaps; an exponential gap is that long once in 3,000 times
 constexpr Micros least_gap = 30 * ms, unknown_gap = 200 * ms;
-constexpr double bad_share = 0.3, far_worse = 2.5;  // failing or slow beside its peers
-constexpr Micros trial_every = 500 * ms, judge_every = 50 * ms;
-constexpr double trial_gaps = 20, clearly = 3;  // lookups taken for each trial; times as quick
-constexpr Micros flight_wait = second;          // past its sending time by more, a lookup waits for its fill
-constexpr double least_in_flight = 6;
+constexpr double bad_share = 0.3, far_worse = 2.5;                   // failing or slow beside its peers
+constexpr double trial_gaps = 20, clearly = 3, least_in_flight = 6;  // lookups for each trial; times as quick
+constexpr Micros trial_every = 500 * ms, judge_every = 50 * ms, flight_wait = second;  // later: a fill's wait
 
 // Guards.
-constexpr double budget_margin = 0.6;  // for what other routers and the estimate of the link may get wrong
-constexpr double least_link = 2;       // transfers at full pace, where nothing is known of a link
-constexpr double credit_per_answer = 0.15, most_credit = 20;
+constexpr double budget_margin = 0.6, least_link = 2;  // for what others get wrong; where no link is known
+constexpr double credit_per_answer = 0.15, most_credit = 20, nearly_all = 0.95;
 // Shares of the room between sending and goal time, from where shedding begins to where nearly all goes.
 constexpr double crowded = 0.2, jammed = 1.0;
 constexpr double fills_crowded = 0.1, fills_jammed = 0.8, usual_fill_room = 0.7, failed_fill_room = 1.5;
 constexpr double link_crowded = 1, link_jammed = 4;  // transfers over those that fit at full pace
-constexpr Micros look_every = 200 * ms, tend_every = 100 * ms, listen_every = 500 * ms;
+constexpr Micros look_every = 100 * ms, tend_every = 100 * ms, listen_every = 500 * ms;
 
 void add(Samples& samples, Micros at, double value, std::size_t most = few, CacheId with = 0) {
     samples.push_back({at, value, with});
@@ -64,11 +60,11 @@
     return std::accumulate(values.begin(), values.end(), 0.0) / values.size();
 }
 
-double median(std::vector<double> values, double none) {
+double median(std::vector<double> values, double none, double share = 0.5) {
     if (values.empty()) return none;
-    auto middle = values.begin() + values.size() / 2;
-    std::nth_element(values.begin(), middle, values.end());
-    return *middle;
+    auto wanted = values.begin() + static_cast<std::ptrdiff_t>(values.size() * share);
+    std::nth_element(values.begin(), wanted, values.end());
+    return *wanted;
 }
 
 std::vector<double> all(const Samples& samples) { return recent(samples, 0); }
@@ -105,9 +101,9 @@
     return order;
 }
 
-// A copy is a copy of one part, and at the edge each part has a place of its own in the hash order. With one
-// place for a whole object its parts ask one cache in a convoy, and a few long objects that meet there crowd
-// it while its neighbours have room. The count, the draw and the parents stay with the object.
+// A copy is a copy of one part, and at the edge each part has a place of its own in the hash order: the parts
+// of a long object would else ask one cache in a convoy. The count, the draw and the parents stay with the
+// object.
 ObjectId part_key(const LookupFacts& lookup) { return lookup.object + 0x51ed2701u * lookup.part; }
 
 bool holds(const std::vector<CacheId>& ids, CacheId id) {
@@ -183,8 +179,8 @@
     return nullptr;
 }
 
-// Every so often one lookup tries a server out of favour. A router that sees few lookups tries less often, so
-// that at a location with many routers trials do not become what is mostly sent, to a dead or a cold server.
+// Every so often one lookup tries a server out of favour, less often where few come: trials by many routers
+// would else become what is mostly sent to it.
 bool on_trial(const Router& router, Server& server, Micros now) {
     double gap = 0;
     if (router.taken.size() >= enough)
@@ -212,7 +208,7 @@
     if (is_parent(router, cache) && origin) source_id = origin->id;
     auto& type = router.traffic[held.facts.traffic];
     double work = mean_sending(type);
-    auto expected = static_cast<Micros>(held.sending * median(all(type.spread), 1.0));
+    auto expected = held.sending + static_cast<Micros>(median(all(type.extra), 0));
     int round = static_cast<int>(held.rounds.size());
     held.rounds.push_back({cache.id, source_id, now, static_cast<Micros>(work)});
     InFlight flight{held.facts.id, round, held.facts.traffic, now, expected, held.sending};
@@ -300,11 +296,10 @@
         bool ours = entry.zone == zone || entry.kind == parent_kind || entry.kind == origin_kind;
         if (!server && !ours) continue;  // other locations' caches are never asked, so they cost nothing
         if (!server) {
-            Server fresh;
-            fresh.id = entry.id;
-            auto at = std::lower_bound(servers.begin(), servers.end(), entry.id,
-                                       [](auto& known, CacheId wanted) { return known.id < wanted; });
-            server = &*servers.insert(at, fresh);
+            auto later = [](auto& known, CacheId wanted) { return known.id < wanted; };
+            auto at = std::lower_bound(servers.begin(), servers.end(), entry.id, later);
+            server = &*servers.emplace(at);
+            server->id = entry.id;
         }
         if (entry.started > server->started) {  // a new process: what was measured was of the old one
             server->gaps = server->verdicts = server->slowness = server->first_byte = {};
@@ -347,8 +342,8 @@
 }
 
 // CacheShield: a first part raises its object's count and draws; a kept name goes on asking keep while its
-// count stays, and later parts follow. A later part whose name is not known (the router was restarted since)
-// counts as the first one seen.
+// count stays, and later parts follow. One whose name is not known (since a restart) counts as the first one
+// seen.
 bool keep_or_pass(Router& router, const LookupFacts& lookup, Micros now) {
     if (lookup.write || router.traffic[lookup.traffic].write) return false;
     auto known = router.names.find(lookup.object);
@@ -395,9 +390,9 @@
 }
 
 // What speaks against a server now, nullptr if nothing: each sign is measured against its peers, so that
-// trouble which all of them share (a slow origin, a crowd) is not laid at the door of one. Only where the
-// notes tell a parent's own failures from the origin's do parents not excuse each other: then the origin can
-// serve instead. Peers change slowly, so the comparison with them holds for a moment.
+// trouble which all of them share is not laid at the door of one. Only where the notes tell a parent's own
+// failures from the origin's do parents not excuse each other. Peers change slowly, so the comparison holds
+// for a moment.
 const char* complaint(const Router& router, const Server& server, Micros now) {
     if (server.unreached_at > 0) return "unreachable";
     if (silence(server, now) > unusual_silence) return "silent";
@@ -409,10 +404,9 @@
 }
 
 // A cold server may be asked, by all routers together and within any window, for a multiple of what it can
-// do; this router takes its share of that, less a margin. Where the link is not told, what this router has
-// seen the server and its like carry stands for its share of the link. What the server has answered since its
-// start is always within what it can do, so a router that has just started itself finds its way up from a
-// small first guess instead of shutting a whole location out for good.
+// do; this router takes its share, less a margin. Where the link is not told, what it has seen the server and
+// its like carry stands for it. What the server has answered since its start is always within what it can do,
+// so a router that has just started itself finds its way up from a small first guess.
 bool within_cold_budget(const Router& router, const Server& server, double work, Micros now) {
     if (!is_cold(router, server, now)) return true;
     bool parent = is_parent(router, server);
@@ -426,21 +420,20 @@
         if (same_role(router, peer, server) && peer.finished.size() >= enough)
             seen.push_back(rate(peer.finished, peer.finished.back().at));
     if (!router.ratings_are_links) link = std::max(link, mean(seen, 0));
-    double answered = 0;
+    double answered = 0, spent = work;
     for (auto& sample : server.finished)
         if (sample.at > std::max(cold_since(server), now - router.cold_window)) answered += sample.value;
     double multiple = parent ? router.parent_multiple : router.cold_multiple;
     double allowed = multiple * std::max(share * link * router.cold_window, answered);
-    double spent = work;
     for (auto& sample : server.spent)
         if (now - sample.at < router.cold_window + 100 * ms) spent += sample.value;
     return spent <= budget_margin * allowed;
 }
 
-// The smoothed first-byte time of a source. What is still out for longer than the usual answer counts with
-// what it has waited so far, as fills that ended without an answer do: else a parent that answers few of its
-// fills is judged by these few, or counts as average. Guards against slow, silent and cold parents alike; it
-// hurts where lookups are out long for a cache's own reasons, but then at all sources alike.
+// The smoothed first-byte time of a source. What is out for longer than the usual answer counts with what it
+// has waited so far: else a parent that answers few of its fills is judged by these few. Guards against slow,
+// silent and cold parents alike; it hurts where lookups are out long for a cache's own reasons, but at all
+// sources alike.
 double first_byte_time(const Server& source, double average, Micros now) {
     auto times = recent(source.first_byte, now, first_byte_life);
     double usual = mean(times, average);
@@ -543,8 +536,8 @@
     } else if (auto name = names.find(facts.object); name != names.end() && name->second.sending > 0) {
         lookup.sending = name->second.sending;
     } else {
-        // Nothing is known of its size: one of the last seen stands for it, so that shedding takes a share of
-        // such lookups and not all or none.
+        // Nothing is known: one of the last seen stands for it, so that shedding takes a share of such
+        // lookups.
         lookup.sending = type.sizes.empty()
                              ? type.goal
                              : static_cast<Micros>(type.sizes[chance.next() % type.sizes.size()].value);
@@ -570,9 +563,8 @@
     return goal > sending ? std::max(0.0, (time * asked - sending) / (goal - sending)) : 0;
 }
 
-// How much of its room the usual hit used lately at the location's caches. Fills are left out: they wait for
-// the link, and have a figure of their own. So are caches under complaint: lookups pass them by, and what the
-// few on trial there meet would look like a crowd at all of them.
+// How much of its room the usual hit used lately at the location's caches. Left out are fills, which wait for
+// the link, and caches under complaint, where the few on trial would look like a crowd at all of them.
 double crowd(const Router& router, Micros now) {
     std::vector<double> used;
     for (auto& server : router.servers)
@@ -587,10 +579,10 @@
     return out;
 }
 
-// How full the location's link is, as its caches report; nothing is said of it as 0. Answers repeat a report
-// until the next is made, so each cache's last one counts, in proportion to what this router has out by now
-// over what it had out meanwhile. Guards against a link that is left empty while reports still call it
-// jammed, and then jammed again by all that was held back.
+// How full the location's link is, as its caches report. Answers repeat a report until the next is made, so
+// each cache's last one counts, in proportion to what this router has out by now over what it had out
+// meanwhile. Guards against a link that is left empty while it is still called jammed, and then jammed by all
+// held back.
 double link_crowd(const Router& router, Micros now) {
     std::vector<double> used;
     for (auto& server : router.servers)
@@ -600,10 +592,10 @@
     return mean(used, 0) * std::min(1.0, (out_at_sources(router) + 1) / (meanwhile + 1));
 }
 
-// Rate times time for what a traffic type fills through the location's link: of the lookups that name a
-// source, those that are out for longer than a hit takes count whole, the others by the share of misses. Each
-// type for itself: a slow origin makes small lookups late long before large ones. Sources under complaint are
-// left out, as others serve in their place.
+// Rate times time for what a traffic type fills through the location's link: lookups that name a source and
+// are out for longer than a hit takes count whole, the others by the share of misses. Each type for itself,
+// as a slow origin makes small lookups late first. Sources under complaint are left out, as others serve in
+// their place.
 double fill_crowd(const Router& router, int traffic, Micros now) {
     auto& type = router.traffic[traffic];
     double filled = rate(type.filled, now), answered = rate(type.answered, now);
@@ -631,8 +623,7 @@
     return std::max(ended_crowd, room_used(type, (1 - 1 / std::sqrt(count)) * out / filled));
 }
 
-// Guards against a jam that feeds itself (late answers, clients asking again, caches turning work away),
-// whatever brought it: a jump in arrivals, oversized objects, a flush, a slow origin or lost caches. Each
+// Guards against a jam that feeds itself (late answers, clients asking again, caches turning work away). Each
 // type's largest lookups go first, as one of them costs as much as many others and all are worth the same: of
 // caches and the link a share of the work is freed, of places for fills a share of the lookups. It hurts
 // where the crowd would have passed by itself within a goal time.
@@ -684,8 +675,8 @@
              end.note >= Note::SourceRefused && end.note != Note::NoPlace && end.outcome != Outcome::Miss,
          by_cache = !by_source;
     // Where no note tells whose failure it was, it is laid to the one that fails more in other company, to
-    // both if that is alike. Guards against a parent that is down: its fills come back as refusals by sound
-    // caches, which were then passed by while the parent went on being named. It hurts if two go wrong.
+    // both if that is alike. Guards against a parent that is down, whose fills come back as refusals by sound
+    // caches.
     if (source && cache && !ok && !ours && router.notes != NotesTold::All &&
         (end.outcome == Outcome::Error || end.outcome == Outcome::Full || end.outcome == Outcome::Timeout)) {
         double cache_bad = failing_without(*cache, *source, now),
@@ -723,7 +714,7 @@
     land(source, held.facts.id, end.round);
     if (ok) {
         add(type.answered, now, held.sending, many);
-        add(type.spread, now, end.lag / std::max<double>(held.sending, 10 * ms), many);
+        add(type.extra, now, end.lag - held.sending, many);
         if (held.facts.kbytes <= 0) {  // parts of an object are alike, so the quickest answer tells the size
             auto name = router.names.find(held.facts.object);
             if (name != router.names.end() && (name->second.sending == 0 || end.lag < name->second.sending))
@@ -759,6 +750,16 @@
     return answer;
 }
 
+// Where a copy costs little, an answer later than nearly all of its type is taken for lost. Guards against
+// answers that break off in silence: the lookup would wait for its time limit, and count as a crowd
+// meanwhile.
+bool overdue(const Router& router, const Held& held, const RoundOut& round, Micros now) {
+    auto& type = router.traffic[held.facts.traffic];
+    return router.second_copies && type.effect == Effect::Rerunnable && router.credit >= most_credit / 2 &&
+           now - round.sent >= held.sending + median(all(type.extra), type.goal, nearly_all) &&
+           crowd(router, now) < crowded && link_crowd(router, now) < link_crowded;
+}
+
 // Called while a lookup is out. When its cache has fallen silent the lookup goes to another one: as a second
 // copy where that is allowed, else after the first was withdrawn.
 Answer Handle::look(Micros now) {
@@ -772,8 +773,9 @@
         if (round.out) {
             out++;
             Server* at = find_server(router, round.cache);
-            if (at && !complaint(router, *at, now)) return answer;
-            if (!holds(held.failed_at, round.cache)) held.failed_at.push_back(round.cache);
+            bool sound = at && !complaint(router, *at, now);
+            if (sound && !overdue(router, held, round, now)) return answer;
+            if (!sound && !holds(held.failed_at, round.cache)) held.failed_at.push_back(round.cache);
         }
     if (out != 1) return answer;
     if (!router.second_copies) {
--- a/src/control.hpp
+++ b/src/control.hpp
@@ -191,7 +191,7 @@
     Group group;
     bool write;
     Samples sizes;             // sending times, told or else seen
-    Samples spread;            // time taken over sending time
+    Samples extra;             // time taken past the sending time
     Samples answered, filled;  // sending times
     Samples fill_room;         // what fills used of their room, 1 where they failed
 };
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -338,6 +338,24 @@
     CHECK(complaint(r, *find_server(r, 1), noon));
 }
 
+// Guards against answers that break off in silence: the lookup waited for its time limit.
+TEST_CASE("a lookup later than nearly all of its type gets a copy, a slow one or a crowded site does not") {
+    auto r = router();
+    for (int i = 0; i < 64; i++) r.traffic[0].extra.push_back({noon, i < 60 ? 50e3 : 300e3});
+    auto handle = r.take(lookup(1), noon);
+    REQUIRE(handle.place(noon).send);
+    CHECK_FALSE(handle.look(noon + 390 * test_ms).send);  // 100 ms of it are for sending
+    find_server(r, 1)->link_use.push_back({noon, 3});
+    CHECK_FALSE(handle.look(noon + 410 * test_ms).send);
+    find_server(r, 1)->link_use.clear();
+    CHECK(handle.look(noon + 410 * test_ms).send);
+    CHECK_FALSE(handle.look(noon + 900 * test_ms).send);  // one copy is enough
+    r.traffic[0].effect = Effect::Exclusive;
+    auto exclusive = r.take(lookup(2), noon);
+    REQUIRE(exclusive.place(noon).send);
+    CHECK_FALSE(exclusive.look(noon + 410 * test_ms).send);
+}
+
 TEST_CASE("one parent serves alone and none means the origin") {
     auto r = router();
     Held held;
