--- a/src/control.cpp
+++ b/src/control.cpp
@@ -1,9 +1,8 @@
 // The decisions of quillgrade, all of them. The interface and the state are in control.hpp.
 //
-// One Router stands for one router process; its owner calls tend() when that has asked for it, and all that
-// happens to a lookup is a call on its handle. Each call answers what is to be sent. Nothing here knows a
-// clock, a file or a name: the time comes with each call and chance from the seed. docs/design.md tells the
-// design.
+// One Router stands for one router process; all that happens to a lookup is a call on its handle. Nothing
+// here knows a clock, a file or a name: the time comes with each call and chance from the seed. The design:
+// docs/design.md.
 #include "control.hpp"
 
 #include <algorithm>
@@ -442,9 +441,9 @@
     return mean(times, average);
 }
 
-// Of the object's first two parents the one with the lower smoothed first-byte time, the first one unless the
-// second is clearly quicker: else chance moves every object to and fro, and each is fetched and kept twice. A
-// parent that was not heard from lately counts as average, one alone serves alone, none means the origin.
+// Of the object's first two parents the first, unless the second's smoothed first-byte time is clearly lower:
+// chance would else move all objects to and fro, each kept twice. A parent not heard from lately counts as
+// average.
 CacheId pick_source(Router& router, const Held& held, Micros now) {
     Server* origin = origin_of(router);
     double work = mean_sending(router.traffic[held.facts.traffic]);
@@ -698,7 +697,7 @@
         if (ok) add(cache->finished, now, held.sending, many);
     }
     if (source && !hit && end.outcome != Outcome::Moot) {
-        if (ok || by_source) sound(*source, now);
+        if (ok || (by_source && end.outcome != Outcome::Timeout)) sound(*source, now);
         if (ok || by_source) add(source->verdicts, now, ok ? 0 : 1, few, round.cache);
         Micros first = end.waited > 0 ? end.waited : std::max<Micros>(0, end.lag - held.sending);
         if (ok || (by_source && router.notes == NotesTold::All) || first > first_byte_time(*source, 0, now))
@@ -751,13 +750,13 @@
 }
 
 // Where a copy costs little, an answer later than nearly all of its type is taken for lost. Guards against
-// answers that break off in silence: the lookup would wait for its time limit, and count as a crowd
-// meanwhile.
+// answers that break off in silence: the lookup would wait out its time limit and count as a crowd.
 bool overdue(const Router& router, const Held& held, const RoundOut& round, Micros now) {
     auto& type = router.traffic[held.facts.traffic];
     return router.second_copies && type.effect == Effect::Rerunnable && router.credit >= most_credit / 2 &&
            now - round.sent >= held.sending + median(all(type.extra), type.goal, nearly_all) &&
-           crowd(router, now) < crowded && link_crowd(router, now) < link_crowded;
+           crowd(router, now) < crowded && link_crowd(router, now) < link_crowded &&
+           median(all(type.fill_room), 0) < usual_fill_room;
 }
 
 // Called while a lookup is out. When its cache has fallen silent the lookup goes to another one: as a second
@@ -776,6 +775,7 @@
             bool sound = at && !complaint(router, *at, now);
             if (sound && !overdue(router, held, round, now)) return answer;
             if (!sound && !holds(held.failed_at, round.cache)) held.failed_at.push_back(round.cache);
+            if (sound) held.failed_from.push_back(round.source);
         }
     if (out != 1) return answer;
     if (!router.second_copies) {
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -348,7 +348,13 @@
     find_server(r, 1)->link_use.push_back({noon, 3});
     CHECK_FALSE(handle.look(noon + 410 * test_ms).send);
     find_server(r, 1)->link_use.clear();
-    CHECK(handle.look(noon + 410 * test_ms).send);
+    r.traffic[0].fill_room = Samples(8, {noon, 0.9});  // fills are slow, not lost
+    CHECK_FALSE(handle.look(noon + 410 * test_ms).send);
+    r.traffic[0].fill_room.clear();
+    auto source = r.held.at(1).rounds[0].source;
+    auto copy = handle.look(noon + 410 * test_ms).send;
+    REQUIRE(copy);
+    CHECK(copy->source != source);
     CHECK_FALSE(handle.look(noon + 900 * test_ms).send);  // one copy is enough
     r.traffic[0].effect = Effect::Exclusive;
     auto exclusive = r.take(lookup(2), noon);
@@ -356,6 +362,20 @@
     CHECK_FALSE(exclusive.look(noon + 410 * test_ms).send);
 }
 
+// Guards against a parent that has fallen silent and counts as heard with every fill that runs out of time.
+TEST_CASE("a fill that ran out of time is no word from its source") {
+    auto facts = a_site();
+    facts.notes = NotesTold::Hit;
+    auto r = router(facts);
+    auto handle = r.take(lookup(1), noon);
+    auto sent = handle.place(noon).send;
+    REQUIRE(sent);
+    find_server(r, sent->source)->verdicts = Samples(8, {noon, 1});
+    handle.ended(end(Outcome::Timeout, sent->cache), noon + test_second);
+    CHECK(find_server(r, sent->source)->verdicts.size() == 9);
+    CHECK(find_server(r, sent->source)->last_sound == 0);
+}
+
 TEST_CASE("one parent serves alone and none means the origin") {
     auto r = router();
     Held held;
