Judge what is overdue only by enough recent answers, take a parent 1.5 times as quick

Where a router answers few lookups its last 64 answers are many seconds old and tell nothing of now, and a slow parent kept its objects until the other was three times as quick.

Now a copy wants 32 answers of its type within the last 2 s, and the second parent serves from 1.5 times on.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -29,8 +29,9 @@
 // Judging servers.
 constexpr double unusual_silence = 8;  // mean gaps; an exponential gap is that long once in 3,000 times
 constexpr Micros least_gap = 30 * ms, unknown_gap = 200 * ms;
-constexpr double bad_share = 0.3, far_worse = 2.5;                   // failing or slow beside its peers
-constexpr double trial_gaps = 20, clearly = 3, least_in_flight = 6;  // lookups for each trial; times as quick
+constexpr double bad_share = 0.3, far_worse = 2.5;  // failing or slow beside its peers
+constexpr double trial_gaps = 20, clearly = 1.5,
+                 least_in_flight = 6;  // lookups for each trial; times as quick
 constexpr Micros trial_every = 500 * ms, judge_every = 50 * ms, flight_wait = second;  // later: a fill's wait
 
 // Guards.
@@ -109,7 +110,6 @@
     return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
-// The mean sending time of a traffic type; its goal time until something has been seen.
 double mean_sending(const Traffic& traffic) { return mean(all(traffic.sizes), traffic.goal); }
 
 double rate(const Samples& finished, Micros now) {
@@ -311,8 +311,7 @@
         server->zone = entry.zone;
         server->started = entry.started;
     }
-    // Guards against memory that grows as caches come and go under ever new ids.
-    std::erase_if(servers, [](auto& server) { return server.listed == Listed::Gone; });
+    std::erase_if(servers, [](auto& server) { return server.listed == Listed::Gone; });  // else memory grows
 }
 
 void Router::list_failed() { want_list = true; }
@@ -753,8 +752,9 @@
 // answers that break off in silence: the lookup would wait out its time limit and count as a crowd.
 bool overdue(const Router& router, const Held& held, const RoundOut& round, Micros now) {
     auto& type = router.traffic[held.facts.traffic];
+    auto extra = recent(type.extra, now, report_life);
     return router.second_copies && type.effect == Effect::Rerunnable && router.credit >= most_credit / 2 &&
-           now - round.sent >= held.sending + median(all(type.extra), type.goal, nearly_all) &&
+           extra.size() >= many / 2 && now - round.sent >= held.sending + median(extra, 0, nearly_all) &&
            crowd(router, now) < crowded && link_crowd(router, now) < link_crowded &&
            median(all(type.fill_room), 0) < usual_fill_room;
 }
