Hold nothing for samples of servers that were never measured

Cause: each server of the list carried 13 deques, some 8 KB before anything was measured, and a growing list copied them all, since a deque's move may throw. A list of thousands of caches would fill a small router. Change: samples are a vector that drops its oldest; the pool looks up whom a whole list names by hash, not by going through the list for each cache.

--- a/src/control.hpp
+++ b/src/control.hpp
@@ -4,7 +4,6 @@
 
 #include <array>
 #include <cstdint>
-#include <deque>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -131,7 +130,11 @@
     double value;
     CacheId with = 0;  // the other server that took part, 0: none
 };
-using Samples = std::deque<Sample>;
+// Nothing is set aside for one that is empty: a router that knows thousands of caches measures few of them.
+struct Samples : std::vector<Sample> {
+    using std::vector<Sample>::vector;
+    void pop_front() { erase(begin()); }
+};
 
 struct InFlight {
     LookupId lookup;
--- a/src/node/pool.cpp
+++ b/src/node/pool.cpp
@@ -1,6 +1,7 @@
 #include "node/pool.hpp"
 
 #include <algorithm>
+#include <unordered_set>
 
 #include "log/log.hpp"
 
@@ -16,10 +17,9 @@
              }} {}
 
 void Pool::list(const feed::Listing& listing) {
-    auto listed = [&](CacheId cache) {
-        return std::any_of(listing.caches.begin(), listing.caches.end(),
-                           [&](auto& endpoint) { return endpoint.entry.id == cache; });
-    };
+    std::unordered_set<CacheId> listed;
+    if (listing.complete)
+        for (auto& endpoint : listing.caches) listed.insert(endpoint.entry.id);
     for (auto& endpoint : listing.caches) {
         auto& place = places[endpoint.entry.id];
         feed::Address address{endpoint.address, endpoint.port};
@@ -31,7 +31,7 @@
     }
     // Guards against memory that grows as caches come and go under ever new ids.
     for (auto place = places.begin(); place != places.end();) {
-        if (place->second.gone || (listing.complete && !listed(place->first))) {
+        if (place->second.gone || (listing.complete && !listed.contains(place->first))) {
             forget(place->second);
             place = places.erase(place);
         } else {
