Add versions, members, store and discovery wire for streamed configuration, off

Need: switching boxes on for a busy morning means touching each router; operators want to publish one numbered change, and see per router which version runs or why it was turned down.

--- a/src/node/gathered.hpp
+++ b/src/node/gathered.hpp
@@ -9,6 +9,7 @@
 #include "feed/event.hpp"
 #include "http/reply.hpp"
 #include "thrift/message.hpp"
+#include "version/bundle.hpp"
 
 namespace quillgrade::node {
 
@@ -49,6 +50,7 @@
 };
 struct TendDue {};
 
-using Gathered = std::vector<std::variant<Arrived, Left, Landed, Probed, feed::Event, LookDue, TendDue>>;
+using Gathered =
+    std::vector<std::variant<Arrived, Left, Landed, Probed, feed::Event, LookDue, TendDue, version::Amounts>>;
 
 }  // namespace quillgrade::node
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -26,14 +26,18 @@
 
 }  // namespace
 
-Node::Node(const launch::Launch& launch)
+Node::Node(const launch::Launch& launch, operate::Plan told, std::function<operate::Plan()> plan_again)
     : launch(launch),
+      plan(std::move(told)),
+      plan_again(std::move(plan_again)),
+      terms(launch.terms),
       base(make_base()),
-      front({base.get(), launch.terms, clock, gathered, false}, launch.room.clients, launch.room.unsent),
-      pool(base.get(), launch.terms, clock, gathered, launch.room.caches, launch.room.coming),
+      front({base.get(), terms, clock, gathered, false}, launch.room.clients, launch.room.unsent),
+      pool(base.get(), terms, clock, gathered, launch.room.caches, launch.room.coming),
       turn(launch, base.get(), gathered, front, pool),
-      coordinator(base.get(), launch.coordinator, launch.terms, launch.known.last, gathered),
+      coordinator(base.get(), launch.coordinator, terms, launch.known.last, gathered),
       check(base.get(), [this] { check.set(check_every); }) {
+    if (plan.control) steering = std::make_unique<Steering>(base.get(), plan, launch, clock, terms);
     auto on_signal = [](evutil_socket_t, short, void* self) { static_cast<Node*>(self)->told_to_leave(); };
     std::signal(SIGPIPE, SIG_IGN);
     term.reset(evsignal_new(base.get(), SIGTERM, on_signal, this));
@@ -70,13 +74,15 @@
 void Node::run() {
     auto now = clock.now();
     for (auto& event : launch.known.events) gathered.emplace_back(event);
+    steer(now);
     turn.take(std::exchange(gathered, {}), now);
     turn.tend(now);
     front.listen(launch.listen);
     while (phase != Phase::Over) {
         step();
         if (phase == Phase::Over) break;
-        event_base_loop(base.get(), gathered.empty() ? EVLOOP_ONCE : EVLOOP_ONCE | EVLOOP_NONBLOCK);
+        bool idle = gathered.empty() && !(steering && steering->busy());
+        event_base_loop(base.get(), idle ? EVLOOP_ONCE : EVLOOP_ONCE | EVLOOP_NONBLOCK);
     }
 }
 
@@ -85,6 +91,7 @@
     auto now = clock.now();
     for (auto& value : gathered)
         if (std::holds_alternative<Arrived>(value)) last_arrival = now;
+    steer(now);
     turn.take(std::exchange(gathered, {}), now);
     front.sweep();
     pool.sweep();
@@ -105,9 +112,14 @@
         check.set(check_every);
     }
     if (phase == Phase::Finishing) front.stop_listening();
+    if (phase == Phase::Finishing && steering) steering->stop();
     if (phase == Phase::Over) log::info("over");
 }
 
+void Node::steer(Micros now) {
+    if (steering) steering->pass(gathered, turn.counts(), now);
+}
+
 // SIGHUP. Guards against a router that ends with what it holds because of a file: whatever is wrong with the
 // new configuration, the old one stays.
 void Node::read_again() {
@@ -120,6 +132,26 @@
     } catch (const std::exception& error) {
         log::warning("configuration not taken, the old one stays: {}", error.what());
     }
+    if (plan_again) read_plan_again();
+}
+
+void Node::read_plan_again() {
+    try {
+        auto told = plan_again();
+        auto rest = [](operate::Plan of) {
+            if (of.control) of.control->services.clear();
+            return of;
+        };
+        auto before = rest(plan), after = rest(told);
+        if (before.control != after.control || before.store != after.store)
+            log::warning("operators' file: more than 'services' has changed, which wants a restart");
+        if (steering && told.control) {
+            plan.control->services = told.control->services;
+            steering->move_to(told.control->services);
+        }
+    } catch (const std::exception& error) {
+        log::warning("operators' file not taken, the old one stays: {}", error.what());
+    }
 }
 
 void Node::told_to_leave() {
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -1,10 +1,14 @@
 // One router from its start to its exit, as named phases.
 #pragma once
 
+#include <functional>
+#include <memory>
+
 #include "launch/launch.hpp"
 #include "node/coordinator.hpp"
 #include "node/front.hpp"
 #include "node/pool.hpp"
+#include "node/steering.hpp"
 #include "node/turn.hpp"
 
 namespace quillgrade::node {
@@ -19,7 +23,10 @@
 
 class Node {
 public:
-    explicit Node(const launch::Launch& launch);
+    // `plan`: the operators' file; what it does not name does not exist. `plan_again` reads it anew on SIGHUP
+    // and may throw; null: there is no such file.
+    explicit Node(const launch::Launch& launch, operate::Plan plan = {},
+                  std::function<operate::Plan()> plan_again = nullptr);
     void run();  // until Over
 
     // The phase that follows, from what has happened so far.
@@ -32,10 +39,15 @@
 
 private:
     void step();
+    void steer(Micros now);
+    void read_plan_again();
     void told_to_leave();
     void read_again();
 
     const launch::Launch& launch;
+    operate::Plan plan;
+    std::function<operate::Plan()> plan_again;
+    site::Terms terms;  // as narrowed by what is in force
     Owned<event_base> base;
     Clock clock;
     Gathered gathered;
@@ -43,6 +55,7 @@
     Pool pool;
     Turn turn;
     Coordinator coordinator;
+    std::unique_ptr<Steering> steering;  // null: off
     Phase phase = Phase::Starting;
     Micros leave_at = 0, last_arrival = 0;
     Timer check;
--- /dev/null
+++ b/src/node/steering.cpp
@@ -0,0 +1,191 @@
+#include "node/steering.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "log/log.hpp"
+
+namespace quillgrade::node {
+
+namespace {
+
+constexpr Micros second = 1'000'000, store_again_after = 30 * second;
+constexpr std::size_t most_version = 8u << 20, least_version = 256u << 10;
+
+std::size_t longest_version(const operate::Control& control, const launch::Room& room) {
+    if (control.longest_version) return control.longest_version;
+    return std::clamp(room.unsent / 4, least_version, most_version);  // room.unsent is a quarter of the limit
+}
+
+}  // namespace
+
+Steering::Steering(event_base* base, const operate::Plan& plan, const launch::Launch& launch, Clock& clock,
+                   site::Terms& terms)
+    : control(*plan.control),
+      launch(launch),
+      terms(terms),
+      shared{base,
+             clock,
+             control.form,
+             {launch.name, control.cluster, launch.terms.zones[static_cast<std::size_t>(launch.facts.zone)]},
+             longest_version(control, launch.room)},
+      book(launch.facts, launch.terms.zones, control.membership),
+      ledger(version::allowed_by(launch.facts, launch.terms), control.kinds,
+             {control.trial, control.trial_for, control.trial_rise}),
+      store(plan.store),
+      wake(base, [] {}) {
+    if (store) {
+        auto opened = vault::Vault::open(*store);
+        if (!opened.said.empty()) log::warning("{}", opened.said);
+        vault = std::move(opened.vault);
+        if (opened.kept) start_from(std::move(*opened.kept));
+    }
+    move_to(control.services);
+}
+
+// What was in force when it was written last, or else what had stood its trial before.
+void Steering::start_from(vault::Kept kept) {
+    auto age = (shared.clock.now() - kept.saved_at) / second;
+    auto why = ledger.start_from(kept.current);
+    if (why) {
+        log::warning("stored version not used, the settings no longer allow it: {}", *why);
+        why = ledger.start_from(kept.settled);
+        if (why) return log::warning("nor the one before: {}", *why);
+    }
+    book.remember(kept.starts);
+    log::info("starting from the store: {}, written {} s ago", version::text_of(ledger.in_force()), age);
+}
+
+void Steering::move_to(const std::vector<feed::Address>& services) {
+    if (contact && services == control.services) return;
+    if (contact) log::info("control services have changed, {} are named", services.size());
+    control.services = services;
+    connections.clear();
+    told_lost.assign(services.size(), "");
+    contact.emplace(static_cast<int>(services.size()), launch.seed ^ 0x636f6e74726f6cu);
+    wake.set(0);
+}
+
+void Steering::stop() {
+    connections.clear();
+    contact.reset();
+    wake.stop();
+}
+
+void Steering::pass(Gathered& batch, const version::Counts& counts, Micros now) {
+    for (auto& value : batch) {
+        auto* event = std::get_if<feed::Event>(&value);
+        auto* listing = event ? std::get_if<feed::Listing>(&event->what) : nullptr;
+        if (listing) *listing = book.platform(*listing, now);
+    }
+    if (!std::exchange(started, true)) take_in(ledger.in_force(), batch, now);
+    if (contact) {
+        for (int place = 0; place < static_cast<int>(control.services.size()); place++) hear(place, now);
+        auto step = contact->next(now);
+        for (int place : step.close) {
+            connections.erase(place);
+            log::info("control service {} let go, a preferred one answers",
+                      text_of(control.services[static_cast<std::size_t>(place)]));
+        }
+        for (int place : step.open) open(place, false);
+        wake.set(std::min(step.look_in, version::Trial::observe_every));
+    }
+    ledger.observe(counts, now);
+    work(batch, counts, now);
+    say();
+}
+
+void Steering::open(int place, bool claim_nothing) {
+    auto& connection = connections[place];
+    connection = {};
+    std::vector<discovery::Request> subscriptions;
+    for (auto kind : control.kinds) {
+        subscriptions.push_back(ledger.subscription(kind, claim_nothing));
+        if (!subscriptions.back().labels.empty()) connection.claimed[kind] = ledger.identity(kind);
+    }
+    connection.service = std::make_unique<Service>(
+        shared, ++last_stream, control.services[static_cast<std::size_t>(place)], subscriptions);
+}
+
+void Steering::hear(int place, Micros now) {
+    auto found = connections.find(place);
+    if (found == connections.end()) return;
+    auto& connection = found->second;
+    auto& service = *connection.service;
+    auto address = text_of(control.services[static_cast<std::size_t>(place)]);
+    for (auto& offer : service.take_offers()) {
+        if (contact->state(place) == discovery::Contact::State::Opening) {
+            log::info("control service {} answers", address);
+            told_lost[static_cast<std::size_t>(place)].clear();
+            contact->answered(place, now);
+        }
+        // Guards against labels of one service that mean something else to another: it is asked for all.
+        auto kind = offer.kind.value_or(discovery::Kind::Boxes);
+        auto claim = connection.claimed.find(kind);
+        if (shared.form == discovery::Form::Changes && claim != connection.claimed.end() &&
+            claim->second != offer.identity) {
+            log::info("control service {} is '{}' and not '{}': asked for everything", address, offer.identity,
+                      claim->second);
+            return open(place, true);
+        }
+        bool afresh = !std::exchange(connection.begun[kind], true) && claim == connection.claimed.end();
+        ledger.offered(service.id, std::move(offer), afresh, now);
+    }
+    if (service.lost().empty() && contact->overdue(place, now)) service.let_go("no answer");
+    if (service.lost().empty()) return;
+    auto& told = told_lost[static_cast<std::size_t>(place)];
+    if (told != service.lost()) log::warning("control service {} lost: {}", address, service.lost());
+    told = service.lost();
+    contact->lost(place, now);
+    connections.erase(found);
+}
+
+void Steering::work(Gathered& batch, const version::Counts& counts, Micros now) {
+    auto proposal = ledger.step(now);
+    if (!proposal) return;
+    auto& boxes = version::of(proposal->next, discovery::Kind::Boxes);
+    static const members::Boxes none;
+    auto refusal =
+        book.would_empty(boxes ? boxes->boxes : none, boxes ? boxes->emptied : std::vector<int>{});
+    if (!refusal) refusal = keep(*proposal, now);
+    if (refusal) return ledger.refused(*refusal, now);
+    take_in(proposal->next, batch, now);
+    ledger.entered(counts, now);
+}
+
+// Kept before it is acknowledged. Guards against a start from what is older than the last one acknowledged:
+// where it can't be kept, the store is emptied, and where even that can't be done the version is refused.
+std::optional<std::string> Steering::keep(const version::Proposal& proposal, Micros now) {
+    if (!vault || (store_again > 0 && now < store_again)) return {};
+    auto starts = book.starts_since(now, std::max(launch.facts.cold, launch.facts.parent_cold));
+    auto failed = vault->write(proposal.next, proposal.settled, starts, now);
+    if (!failed) {
+        if (std::exchange(store_again, 0) > 0) log::info("store: versions are kept again");
+        return {};
+    }
+    if (!vault->clear()) return "the store can be neither written nor emptied: " + *failed;
+    if (store_again == 0)
+        log::warning("store: {}, so nothing is kept for now; tried again with a version after 30 s", *failed);
+    store_again = now + store_again_after;
+    return {};
+}
+
+void Steering::take_in(const version::Set& set, Gathered& batch, Micros now) {
+    auto& boxes = version::of(set, discovery::Kind::Boxes);
+    auto listing = book.streamed(boxes ? std::shared_ptr<const members::Boxes>(boxes, &boxes->boxes) : nullptr, now);
+    if (!listing.caches.empty()) batch.emplace_back(feed::Event{0, std::move(listing)});
+    auto& amounts = version::of(set, discovery::Kind::Amounts);
+    auto told = amounts ? amounts->amounts : version::Amounts{};
+    terms.connect_time = told.connect_time.value_or(launch.terms.connect_time);
+    terms.idle_time = told.idle_time.value_or(launch.terms.idle_time);
+    batch.emplace_back(told);
+}
+
+void Steering::say() {
+    for (auto& reply : ledger.take_replies())
+        for (auto& [place, connection] : connections)
+            if (connection.service->id == reply.stream) connection.service->say(std::move(reply.request));
+    for (auto& line : ledger.take_lines()) log::info("{}", line);
+}
+
+}  // namespace quillgrade::node
--- a/src/node/turn.cpp
+++ b/src/node/turn.cpp
@@ -10,6 +10,7 @@
 Turn::Turn(const launch::Launch& launch, event_base* base, Gathered& gathered, Front& front, Pool& pool)
     : base(base),
       terms(launch.terms),
+      facts(launch.facts),
       gathered(gathered),
       front(front),
       pool(pool),
@@ -39,7 +40,7 @@
     facts.write = router.traffic[facts.traffic].write;
     auto id = facts.id;
     open.try_emplace(id, arrived.caller, facts, std::move(arrived.lookup.have),
-                     std::move(arrived.lookup.body), base,
+                     std::move(arrived.lookup.body), now, base,
                      [this, id] { gathered.emplace_back(LookDue{id}); });
     made({id, router.take(facts, now).place(now), {}});
 }
@@ -48,6 +49,8 @@
     auto found = open.find(left.lookup);
     if (found == open.end() || found->second.caller != left.caller) return;
     found->second.answered = true;
+    // One that has left early says nothing; one that has waited long was not served.
+    if (auto& lookup = found->second; now - lookup.taken > lookup.facts.due - now) count(true);
     auto handle = router.find(left.lookup);
     made({left.lookup, handle ? handle->left() : Answer{}, {}, true});
 }
@@ -93,6 +96,19 @@
 
 void Turn::tell(TendDue&) { tend(now); }
 
+// A version may narrow what the settings allow, and was checked for that.
+void Turn::tell(version::Amounts& amounts) {
+    router.transmissions_cap = amounts.transmissions.value_or(facts.transmissions_cap);
+    router.second_copies = amounts.second_copies.value_or(facts.second_copies);
+    router.most_retry_after =
+        facts.retry_after ? amounts.come_back.value_or(facts.most_retry_after) : Micros{0};
+}
+
+void Turn::count(bool bad) {
+    ends.ended++;
+    ends.bad += bad;
+}
+
 void Turn::tend(Micros reading) {
     now = reading;
     auto answer = router.tend(now);
@@ -119,6 +135,7 @@
         lookup.look_at = now + answer.look_in;
         lookup.look.set(answer.look_in);
     }
+    if (made.handled || answer.final != Final::None) count(!made.handled);
     if (made.handled)
         front.answer(lookup.caller, thrift::handled(seq, made.handled->body, made.handled->status == 304));
     else if (answer.final == Final::Rejected)
--- a/src/node/turn.hpp
+++ b/src/node/turn.hpp
@@ -10,6 +10,7 @@
 #include "launch/launch.hpp"
 #include "node/front.hpp"
 #include "node/pool.hpp"
+#include "version/trial.hpp"
 
 namespace quillgrade::node {
 
@@ -21,20 +22,23 @@
     void leave(Micros by) { leave_by = by; }  // lookups taken from now on are answered by then
     void break_off_all();                     // whatever is still held gets its final answer
     std::size_t held() const { return open.size(); }
+    const version::Counts& counts() const { return ends; }
 
 private:
     // A lookup whose final answer is owed.
     struct Open {
         Open(const Caller& caller, const LookupFacts& facts, std::string have, std::string body,
-             event_base* base, std::function<void()> due)
+             Micros taken, event_base* base, std::function<void()> due)
             : caller(caller),
               facts(facts),
               have(std::move(have)),
               body(std::move(body)),
+              taken(taken),
               look(base, std::move(due)) {}
         Caller caller;
         LookupFacts facts;
         std::string have, body;
+        Micros taken;
         bool answered = false;
         int rounds = 0;      // transmissions so far
         Micros look_at = 0;  // 0: no look is due
@@ -55,12 +59,15 @@
     void tell(feed::Event& event);
     void tell(LookDue& due);
     void tell(TendDue& due);
+    void tell(version::Amounts& amounts);
+    void count(bool bad);
     void made(Made one);
     void carry_out(Made& made);
     void send(Open& lookup, const Transmission& order);
 
     event_base* base;
     const site::Terms& terms;
+    const SiteFacts& facts;
     Gathered& gathered;
     Front& front;
     Pool& pool;
@@ -69,6 +76,7 @@
     std::vector<Made> answers;
     std::vector<CacheId> probes;
     std::optional<Micros> leave_by;
+    version::Counts ends;
     Micros now = 0;
     Timer upkeep;
 };
--- /dev/null
+++ b/src/operate/plan.cpp
@@ -0,0 +1,219 @@
+#include "operate/plan.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace quillgrade::operate {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t most_services = 8, longest_path = 1000;
+constexpr double mb = 1 << 20;
+
+// One object of the file: each member is asked for by name, and what nobody asked for is a fault.
+class Members {
+public:
+    Members(const json& told, std::string path, std::vector<Fault>& faults)
+        : told(told), path(std::move(path)), faults(faults) {
+        if (!told.is_object()) fault("", "an object in { } is expected");
+    }
+    Members(const Members&) = delete;
+    Members& operator=(const Members&) = delete;
+    ~Members() {
+        if (!told.is_object()) return;
+        for (auto& [name, value] : told.items())
+            if (std::find(asked.begin(), asked.end(), name) == asked.end())
+                fault(name, "no such member; known here: " + listed());
+    }
+    const json* find(const char* name) {
+        asked.push_back(name);
+        if (!told.is_object()) return nullptr;
+        auto found = told.find(name);
+        return found == told.end() ? nullptr : &*found;
+    }
+    template <class Value, class Good>
+    void read(const char* name, Value& into, const char* expected, Good good) {
+        auto* found = find(name);
+        if (!found) return;
+        if (!good(*found))
+            fault(name, std::string(expected) + " is expected, not " + found->dump().substr(0, 60));
+        else
+            into = found->template get<Value>();
+    }
+    void number(const char* name, double& into, double least, double most) {
+        auto expected = "a number from " + json(least).dump() + " to " + json(most).dump();
+        read(name, into, expected.c_str(), [&](const json& value) {
+            return value.is_number() && value.get<double>() >= least && value.get<double>() <= most;
+        });
+    }
+    void yes_or_no(const char* name, bool& into) {
+        read(name, into, "true or false", [](const json& value) { return value.is_boolean(); });
+    }
+    void text(const char* name, std::string& into, std::size_t longest) {
+        read(name, into, "a text that is not empty and not longer than allowed", [&](const json& value) {
+            return value.is_string() && !value.get<std::string>().empty() &&
+                   value.get<std::string>().size() <= longest;
+        });
+    }
+    void fault(const std::string& name, std::string what) {
+        auto where = path.empty() ? name : name.empty() ? path : path + "." + name;
+        faults.push_back({where.empty() ? "the file" : where, std::move(what)});
+    }
+    Members inner(const std::string& name, const json& value) const {
+        return {value, path.empty() ? name : path + "." + name, faults};
+    }
+
+private:
+    std::string listed() const {
+        std::string all;
+        for (auto& name : asked) all += (all.empty() ? "" : ", ") + name;
+        return all;
+    }
+    const json& told;
+    std::string path;
+    std::vector<Fault>& faults;
+    std::vector<std::string> asked;
+};
+
+template <class T>
+void word(Members& members, const char* name, T& into, std::initializer_list<std::pair<const char*, T>> known) {
+    auto* found = members.find(name);
+    if (!found) return;
+    std::string words;
+    for (auto& [text, meaning] : known) {
+        if (*found == text) {
+            into = meaning;
+            return;
+        }
+        words += std::string(words.empty() ? "\"" : " or \"") + text + "\"";
+    }
+    members.fault(name, words + " is expected, not " + found->dump().substr(0, 60));
+}
+
+void read_services(Members& members, Control& control) {
+    auto* told = members.find("services");
+    if (!told || !told->is_array() || told->empty() || told->size() > most_services)
+        return members.fault("services", "a list of 1 to 8 addresses such as \"10.2.0.1:18000\" is expected");
+    for (std::size_t i = 0; i < told->size(); i++) try {
+            auto& one = told->at(i);
+            if (!one.is_string()) throw site::Unusable(one.dump().substr(0, 60) + " is no address");
+            auto address = feed::read_address(one.get<std::string>());
+            if (address.port == 0) throw site::Unusable(one.dump() + " has no port");
+            if (std::count(control.services.begin(), control.services.end(), address))
+                throw site::Unusable(one.dump() + " stands there twice");
+            control.services.push_back(address);
+        } catch (const site::Unusable& error) {
+            members.fault("services[" + std::to_string(i) + "]",
+                          std::string(error.what()) + "; \"10.2.0.1:18000\" is the form");
+        }
+}
+
+void read_kinds(Members& members, Control& control) {
+    auto* told = members.find("kinds");
+    if (!told) return;
+    control.kinds.clear();
+    if (!told->is_array() || told->empty()) return members.fault("kinds", "a list of names is expected");
+    for (auto& one : *told) {
+        if (one == "boxes")
+            control.kinds.push_back(discovery::Kind::Boxes);
+        else if (one == "amounts")
+            control.kinds.push_back(discovery::Kind::Amounts);
+        else
+            members.fault("kinds", "\"boxes\" or \"amounts\" is expected, not " + one.dump().substr(0, 60));
+    }
+    auto repeated = control.kinds;
+    std::sort(repeated.begin(), repeated.end());
+    if (std::adjacent_find(repeated.begin(), repeated.end()) != repeated.end())
+        members.fault("kinds", "a name stands there twice");
+}
+
+void read_trial(Members& members, Control& control) {
+    auto* told = members.find("trial");
+    if (!told) return;
+    if (*told == false) {
+        control.trial = false;
+        return;
+    }
+    auto trial = members.inner("trial", *told);
+    double seconds = static_cast<double>(control.trial_for) / 1e6;
+    trial.number("for_s", seconds, 2, 600);
+    trial.number("rise", control.trial_rise, 0.01, 1);
+    control.trial_for = static_cast<Micros>(seconds * 1e6);
+}
+
+void read_control(Members& members, Control& control) {
+    read_services(members, control);
+    read_kinds(members, control);
+    read_trial(members, control);
+    word(members, "form", control.form,
+         {{"whole", discovery::Form::Whole}, {"incremental", discovery::Form::Changes}});
+    word(members, "membership", control.membership,
+         {{"merged", Membership::Merged}, {"streamed", Membership::Streamed}});
+    members.text("cluster", control.cluster, 200);
+    double megabytes = 0;
+    members.number("longest_version_mb", megabytes, 0.01, 64);
+    control.longest_version = static_cast<std::size_t>(megabytes * mb);
+}
+
+void read_store(Members& members, Store& store) {
+    members.text("path", store.path, longest_path);
+    if (store.path.empty()) members.fault("path", "the folder of the store is to be named");
+    double megabytes = static_cast<double>(store.bytes) / mb;
+    members.number("megabytes", megabytes, 1, 4096);
+    store.bytes = static_cast<std::size_t>(megabytes * mb) / 4096 * 4096;
+    members.yes_or_no("sync", store.sync);
+}
+
+std::string line_of(std::string_view text, std::size_t byte) {
+    auto before = text.substr(0, std::min(byte > 0 ? byte - 1 : 0, text.size()));
+    auto line = std::count(before.begin(), before.end(), '\n') + 1;
+    auto start = before.rfind('\n');
+    auto column = before.size() - (start == before.npos ? 0 : start + 1) + 1;
+    return "line " + std::to_string(line) + ", column " + std::to_string(column);
+}
+
+// Guards against a member that stands twice, of which the library would keep the last without a word.
+json parse(std::string_view text, std::vector<Fault>& faults) {
+    std::vector<std::vector<std::string>> open;
+    auto watch = [&](int, json::parse_event_t event, json& value) {
+        if (event == json::parse_event_t::object_start) open.emplace_back();
+        if (event == json::parse_event_t::object_end) open.pop_back();
+        if (event == json::parse_event_t::key) {
+            auto name = value.get<std::string>();
+            if (std::count(open.back().begin(), open.back().end(), name))
+                faults.push_back({name, "the member stands there twice"});
+            open.back().push_back(name);
+        }
+        return true;
+    };
+    return json::parse(text, watch, true, true);
+}
+
+}  // namespace
+
+Read read(std::string_view text) {
+    Read read;
+    json told;
+    try {
+        told = parse(text, read.faults);
+    } catch (const json::parse_error& error) {
+        std::string what = error.what();
+        auto said = what.find("syntax error");  // the library says the place again before it
+        read.faults.push_back({line_of(text, error.byte), what.substr(said == what.npos ? 0 : said)});
+        return read;
+    }
+    Members members(told, "", read.faults);
+    if (auto* control = members.find("control")) {
+        auto inner = members.inner("control", *control);
+        read_control(inner, read.plan.control.emplace());
+    }
+    if (auto* store = members.find("store")) {
+        auto inner = members.inner("store", *store);
+        read_store(inner, read.plan.store.emplace());
+    }
+    return read;
+}
+
+}  // namespace quillgrade::operate
--- /dev/null
+++ b/src/operate/plan.hpp
@@ -0,0 +1,58 @@
+// The operators' own file: JSON with comments, read once at the start (and again on SIGHUP). Without it, or
+// without a member of it, the front or store that the member names does not exist. No I/O here.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "control.hpp"
+#include "discovery/message.hpp"
+#include "feed/event.hpp"
+
+namespace quillgrade::operate {
+
+enum class Membership {
+    Merged,   // boxes of the coordinator and of the stream together
+    Streamed  // once a version of Boxes is in force, only its boxes; drains told by the coordinator hold
+};
+
+struct Control {
+    std::vector<feed::Address> services;  // in order of preference, 1 to 8
+    discovery::Form form = discovery::Form::Whole;
+    std::vector<discovery::Kind> kinds = {discovery::Kind::Boxes, discovery::Kind::Amounts};
+    Membership membership = Membership::Merged;
+    std::string cluster;
+    std::size_t longest_version = 0;  // bytes; 0: a sixteenth of the memory limit, 8 MB at most
+    bool trial = true;
+    Micros trial_for = 15'000'000;
+    double trial_rise = 0.10;  // of the share of lookups rejected or broken off
+    bool operator==(const Control&) const = default;
+};
+
+struct Store {
+    std::string path;  // a folder, made where it is missing
+    std::size_t bytes = 64u << 20;
+    bool sync = true;  // written to the disk before a version is acknowledged
+    bool operator==(const Store&) const = default;
+};
+
+struct Plan {
+    std::optional<Control> control;
+    std::optional<Store> store;
+};
+
+struct Fault {
+    std::string where;  // "line 3, column 7" or "control.services[1]"
+    std::string what;   // what was found, what was expected, in words for an operator
+};
+
+struct Read {
+    Plan plan;
+    std::vector<Fault> faults;  // all that were found; the plan is good only if there is none
+};
+Read read(std::string_view text);
+
+}  // namespace quillgrade::operate
--- /dev/null
+++ b/src/version/bundle.cpp
@@ -0,0 +1,29 @@
+#include "version/bundle.hpp"
+
+#include <xxhash.h>
+
+namespace quillgrade::version {
+
+std::uint64_t digest_of(const Items& items) {
+    std::uint64_t digest = items.size();
+    for (auto& [name, item] : items) {
+        digest = XXH3_64bits_withSeed(name.data(), name.size(), digest);
+        digest = XXH3_64bits_withSeed(item->bytes.data(), item->bytes.size(), digest);
+    }
+    return digest;
+}
+
+std::string text_of(const Set& set) {
+    std::string all;
+    for (auto& one : set)
+        if (one)
+            all += (all.empty() ? "" : ", ") + std::string(discovery::name_of(one->bundle.kind)) + " " +
+                   one->bundle.text + " of '" + one->bundle.identity + "'";
+    return all.empty() ? "nothing" : all;
+}
+
+Allowed allowed_by(const SiteFacts& facts, const site::Terms& terms) {
+    return {terms, facts.transmissions_cap, facts.second_copies, facts.most_retry_after};
+}
+
+}  // namespace quillgrade::version
--- /dev/null
+++ b/src/version/trial.cpp
@@ -0,0 +1,76 @@
+#include "version/trial.hpp"
+
+#include <cmath>
+#include <cstdio>
+
+namespace quillgrade::version {
+
+namespace {
+
+constexpr Micros second = 1'000'000;
+constexpr Micros before_lasts = 30 * second, latest = 5 * second;
+// Chance alone: 4.5 standard errors come by once in 300,000 judgements, and two are wanted running.
+constexpr double clearly = 4.5, times_a_second = 1.5;
+constexpr double enough_before = 50, enough_since = 25;
+
+}  // namespace
+
+void Trial::begin(const Counts& counts, Micros now) {
+    if (!terms.on) return;
+    begun = now;
+    if (state == State::Going) return;
+    state = State::Going;
+    first_begun = now;
+    worse_running = 0;
+    since = {{now, counts}};
+    readings.push_back({now, counts});
+}
+
+Trial::State Trial::observe(const Counts& counts, Micros now) {
+    if (state == State::Idle) {
+        if (readings.empty() || now - readings.back().at >= observe_every) readings.push_back({now, counts});
+        while (readings.size() > 2 && now - readings.front().at > before_lasts) readings.pop_front();
+        return state;
+    }
+    if (state != State::Going || now - since.back().at < observe_every) return state;
+    since.push_back({now, counts});
+    // The start of the trial is kept until it is over; in between only the last few seconds are judged.
+    while (since.size() > 2 && now - since.front().at > latest) since.pop_front();
+    worse_running = worse(counts, now) ? worse_running + 1 : 0;
+    if (worse_running >= 2)
+        state = State::Harmful;
+    else if (worse_running == 0 && now - begun >= terms.lasts)
+        state = State::Settled;
+    return state;
+}
+
+bool Trial::worse(const Counts& counts, Micros now) {
+    if (readings.size() < 2) return false;  // there was no time before
+    auto& from = readings.front();
+    auto& to = readings.back();
+    auto& start = since.front();
+    double n0 = static_cast<double>(to.counts.ended - from.counts.ended);
+    double bad0 = static_cast<double>(to.counts.bad - from.counts.bad);
+    double n1 = static_cast<double>(counts.ended - start.counts.ended);
+    double bad1 = static_cast<double>(counts.bad - start.counts.bad);
+    if (n0 < enough_before || n1 < enough_since) return false;
+    double seconds0 = static_cast<double>(to.at - from.at) / second;
+    double seconds1 = static_cast<double>(now - start.at) / second;
+    double share0 = bad0 / n0, share1 = bad1 / n1;
+    double rate0 = bad0 / seconds0, rate1 = bad1 / seconds1;
+    double all = (bad0 + bad1) / (n0 + n1);
+    double error = std::sqrt(all * (1 - all) * (1 / n0 + 1 / n1));
+    bool is = share1 - share0 >= terms.rise && share1 - share0 >= clearly * error &&
+              rate1 >= times_a_second * rate0;
+    if (is) {
+        char text[200];
+        std::snprintf(text, sizeof text,
+                      "it did harm: %.1f lookups a second rejected or broken off (%.0f%%) since, %.1f a second "
+                      "(%.0f%%) before",
+                      rate1, 100 * share1, rate0, 100 * share0);
+        why = text;
+    }
+    return is;
+}
+
+}  // namespace quillgrade::version
