--- a/src/control.cpp
+++ b/src/control.cpp
@@ -290,16 +290,20 @@
 void Router::list(const std::vector<ListEntry>& entries, bool complete, Micros) {
     if (complete)
         for (auto& server : servers) server.listed = Listed::Gone;
+    std::vector<CacheId> fresh;  // thousands may come at once, so they are put in order together
+    for (auto& entry : entries)
+        if ((entry.zone == zone || entry.kind == parent_kind || entry.kind == origin_kind) &&
+            !find_server(*this, entry.id))
+            fresh.push_back(entry.id);
+    std::sort(fresh.begin(), fresh.end());
+    fresh.erase(std::unique(fresh.begin(), fresh.end()), fresh.end());
+    auto known = static_cast<std::ptrdiff_t>(servers.size());
+    for (auto id : fresh) servers.emplace_back().id = id;
+    std::inplace_merge(servers.begin(), servers.begin() + known, servers.end(),
+                       [](auto& a, auto& b) { return a.id < b.id; });
     for (auto& entry : entries) {
         Server* server = find_server(*this, entry.id);
-        bool ours = entry.zone == zone || entry.kind == parent_kind || entry.kind == origin_kind;
-        if (!server && !ours) continue;  // other locations' caches are never asked, so they cost nothing
-        if (!server) {
-            auto later = [](auto& known, CacheId wanted) { return known.id < wanted; };
-            auto at = std::lower_bound(servers.begin(), servers.end(), entry.id, later);
-            server = &*servers.emplace(at);
-            server->id = entry.id;
-        }
+        if (!server) continue;  // other locations' caches are never asked, so they cost nothing
         if (entry.started > server->started) {  // a new process: what was measured was of the old one
             server->gaps = server->verdicts = server->slowness = server->first_byte = {};
             server->unreached_at = server->back_since = 0;
@@ -370,6 +374,8 @@
 
 const char* beside_peers(const Router& router, const Server& server, Micros now) {
     auto verdicts = recent(server.verdicts, now), slowness = recent(server.slowness, now);
+    // Nothing to say of what was hardly measured; going through all peers for each would cost their square.
+    if (verdicts.size() < enough && slowness.size() < enough) return nullptr;
     std::vector<double> peers_bad, peers_slow;
     bool own_fault = is_parent(router, server) && router.notes == NotesTold::All;
     for (auto& peer : router.servers) {
--- a/src/discovery/message.cpp
+++ b/src/discovery/message.cpp
@@ -1,6 +1,8 @@
 #include "discovery/message.hpp"
 
 #include <algorithm>
+#include <google/protobuf/stubs/logging.h>
+
 #include <array>
 #include <charconv>
 #include <set>
@@ -14,6 +16,10 @@
 
 namespace wire = envoy::service::discovery::v3;
 
+// Guards against a log that a far side fills: the parser writes a line of its own for each text that is no
+// UTF-8. What can't be read is told by whoever reads it.
+[[maybe_unused]] const auto silenced = google::protobuf::SetLogHandler(nullptr);
+
 constexpr std::size_t longest_word = 256;  // names, nonces, labels, identities
 constexpr int invalid_argument = 3;        // google.rpc.Code
 
--- a/src/node/link.cpp
+++ b/src/node/link.cpp
@@ -11,8 +11,9 @@
 
 }  // namespace
 
-Link::Link(const Shared& shared, CacheId cache, const feed::Address& address)
+Link::Link(const Shared& shared, CacheId cache, const feed::Address& address, std::uint64_t process)
     : cache(cache),
+      process(process),
       shared(shared),
       address(address),
       reader(shared.terms.reported),
--- a/src/node/link.hpp
+++ b/src/node/link.hpp
@@ -27,7 +27,7 @@
         Clock& clock;
         Ended ended;
     };
-    Link(const Shared& shared, CacheId cache, const feed::Address& address);
+    Link(const Shared& shared, CacheId cache, const feed::Address& address, std::uint64_t process);
 
     void run(const Errand& errand, http::Request request);
     void give_up();  // the errand is no longer wanted: the connection is closed
@@ -38,6 +38,7 @@
     std::size_t coming() const { return state == State::Busy ? reader.held_bytes() : 0; }
 
     const CacheId cache;
+    const std::uint64_t process;  // which of those that have stood behind the id
     Errand errand;
 
 private:
--- a/src/node/pool.cpp
+++ b/src/node/pool.cpp
@@ -25,7 +25,10 @@
         feed::Address address{endpoint.address, endpoint.port};
         place.gone = endpoint.entry.listed == Listed::Gone;
         // Connections to a process that has gone, or to another address, are of no more use.
-        if (endpoint.entry.started > place.started || address != place.address) forget(place);
+        if (endpoint.entry.started > place.started || address != place.address) {
+            forget(place);
+            place.process = ++last_process;
+        }
         place.address = address;
         place.started = endpoint.entry.started;
     }
@@ -49,7 +52,8 @@
     auto found = places.find(cache);
     Link* link = found == places.end() ? nullptr : idle_link(found->second);
     if (!link && found != places.end() && make_room()) {
-        all.push_back(std::make_unique<Link>(shared, cache, found->second.address));
+        all.push_back(
+            std::make_unique<Link>(shared, cache, found->second.address, found->second.process));
         link = all.back().get();
     }
     if (!link) {  // nothing was sent, and it is not the cache's doing
@@ -94,10 +98,12 @@
 void Pool::ended(Link& link, Outcome outcome, http::Reply reply) {
     out.erase({link.errand.lookup, link.errand.round});
     auto place = places.find(link.cache);
-    if (link.idle() && place != places.end())
+    // Guards against lookups that go to a box that was taken out, over a connection that was at work while its
+    // id was listed again at another address.
+    if (link.idle() && place != places.end() && place->second.process == link.process)
         place->second.idle.push_back(&link);
     else
-        link.drop();  // its cache has gone meanwhile, or it is dead already
+        link.drop();  // its cache has gone or moved meanwhile, or it is dead already
     land(link.cache, link.errand, outcome, std::move(reply));
 }
 
--- a/src/node/pool.hpp
+++ b/src/node/pool.hpp
@@ -29,6 +29,7 @@
         feed::Address address;
         Micros started = 0;
         bool gone = false;
+        std::uint64_t process = 0;  // new whenever another process or address stands behind the id
         std::vector<Link*> idle;  // the one used last at the end
     };
     void ended(Link& link, Outcome outcome, http::Reply reply);
@@ -40,6 +41,7 @@
 
     Gathered& gathered;
     std::size_t most_links, most_coming;
+    std::uint64_t last_process = 0;
     Link::Shared shared;
     std::unordered_map<CacheId, Place> places;
     std::vector<std::unique_ptr<Link>> all;
--- /dev/null
+++ b/src/rig/world.cpp
@@ -0,0 +1,494 @@
+#include "rig/world.hpp"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <cmath>
+#include <future>
+#include <list>
+#include <mutex>
+#include <set>
+#include <stdexcept>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+
+#include "bytes/bytes.hpp"
+
+namespace quillgrade::rig {
+
+namespace {
+
+using bytes::put_number;
+
+// A final answer may come 50 ms after the client's time is up.
+constexpr Micros slack = 50'000, tick = 1000;
+constexpr int most_open = 32;  // calls on one connection, by the protocol
+
+struct Free {
+    void operator()(event_base* base) const { event_base_free(base); }
+    void operator()(event* timer) const { event_free(timer); }
+    void operator()(bufferevent* buffer) const { bufferevent_free(buffer); }
+    void operator()(evconnlistener* listener) const { evconnlistener_free(listener); }
+};
+template <class T>
+using Owned = std::unique_ptr<T, Free>;
+
+timeval in(Micros wait) {
+    return {static_cast<time_t>(wait / 1'000'000), static_cast<suseconds_t>(wait % 1'000'000)};
+}
+
+sockaddr_in here(int port) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    return address;
+}
+
+void put_text(std::string& out, const std::string& text) {
+    put_number(out, 4, text.size());
+    out += text;
+}
+
+std::string call(std::int32_t seq, const std::map<std::string, std::string>& fields) {
+    std::string content;
+    put_number(content, 4, 0x80010001);  // strict binary, a call
+    put_text(content, "invoke");
+    put_number(content, 4, static_cast<std::uint32_t>(seq));
+    content += std::string("\x0d\x00\x01\x0b\x0b", 5);
+    put_number(content, 4, fields.size());
+    for (auto& [name, value] : fields) {
+        put_text(content, name);
+        put_text(content, value);
+    }
+    content += std::string("\x0b\x00\x02\x00\x00\x00\x00\x00", 8);
+    std::string frame;
+    put_text(frame, content);
+    return frame;
+}
+
+std::string hex(std::uint64_t value) {
+    char text[17];
+    std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(value));
+    return text;
+}
+
+}  // namespace
+
+Micros unix_now() {
+    auto since = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::microseconds>(since).count();
+}
+
+struct World::Inner {
+    struct Box {
+        Inner* world;
+        int port = 0;
+        Micros delay, forbidden = 0;
+        std::size_t bytes;
+        std::uint64_t sends = 0;
+        Owned<evconnlistener> listener;
+    };
+    // A connection at a box; it answers one request at a time.
+    struct Served {
+        Inner* world;
+        Box* box;
+        Owned<bufferevent> buffer;
+        Owned<event> due;
+        std::list<Served>::iterator self;
+    };
+    struct Lookup {
+        Micros asked, due;
+        int finals = 0;
+    };
+    struct Client {
+        Inner* world;
+        Owned<bufferevent> buffer;
+        std::unordered_map<std::int32_t, std::uint64_t> open;  // sequence number to lookup, until its time is up
+        int unanswered = 0;                                    // of these
+        std::int32_t seq = 0;
+        bool up = false, dead = false;
+    };
+    struct Feed {
+        Owned<bufferevent> buffer;
+        bool asked = false;
+    };
+
+    Owned<event_base> base{event_base_new()};
+    mutable std::mutex lock;
+    std::vector<std::function<void()>> commands;
+    std::list<std::unique_ptr<Box>> boxes_owned;
+    std::vector<Box*> boxes;
+    std::list<Served> served;
+    std::list<Feed> feeds;
+    std::vector<std::pair<std::uint64_t, std::string>> events;  // frames told so far
+    Owned<evconnlistener> coordinator;
+    int coordinator_port = 0;
+    std::list<Client> clients;
+    std::unordered_map<std::uint64_t, Lookup> lookups;
+    std::uint64_t next_id = 1;
+    double per_s = 0, owed = 0;
+    int router_port = 0, wanted = 0;
+    Micros wait = 0, last_tick = 0, last_beat = 0;
+    Totals totals;
+    std::vector<Micros> times;
+    Owned<event> timer;
+    std::thread thread;
+    std::atomic<bool> over{false};
+
+    // Runs `what` on the loop's thread and returns when it has.
+    template <class What>
+    auto run(What what) {
+        std::promise<decltype(what())> done;
+        auto result = done.get_future();
+        {
+            std::lock_guard hold(lock);
+            commands.push_back([&] {
+                if constexpr (std::is_void_v<decltype(what())>) {
+                    what();
+                    done.set_value();
+                } else {
+                    done.set_value(what());
+                }
+            });
+        }
+        return result.get();
+    }
+
+    Owned<evconnlistener> listen(int& port, evconnlistener_cb taken, void* self) {
+        auto address = here(0);
+        Owned<evconnlistener> made(evconnlistener_new_bind(base.get(), taken, self, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC,
+                                                           512, reinterpret_cast<sockaddr*>(&address),
+                                                           sizeof address));
+        socklen_t size = sizeof address;
+        if (!made || getsockname(evconnlistener_get_fd(made.get()), reinterpret_cast<sockaddr*>(&address), &size))
+            throw std::runtime_error("the world can't listen");
+        port = ntohs(address.sin_port);
+        return made;
+    }
+
+    // ---- boxes
+    void taken(Box* box, int fd) {
+        served.emplace_front();
+        auto& one = served.front();
+        one.world = this;
+        one.box = box;
+        one.self = served.begin();
+        one.buffer.reset(bufferevent_socket_new(base.get(), fd, BEV_OPT_CLOSE_ON_FREE));
+        one.due.reset(evtimer_new(
+            base.get(), [](evutil_socket_t, short, void* self) { static_cast<Served*>(self)->world->reply(*static_cast<Served*>(self)); },
+            &one));
+        bufferevent_setcb(
+            one.buffer.get(),
+            [](bufferevent*, void* self) { static_cast<Served*>(self)->world->request(*static_cast<Served*>(self)); },
+            nullptr,
+            [](bufferevent*, short what, void* self) {
+                auto& one = *static_cast<Served*>(self);
+                if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) one.world->served.erase(one.self);
+            },
+            &one);
+        bufferevent_enable(one.buffer.get(), EV_READ | EV_WRITE);
+    }
+
+    void request(Served& one) {
+        auto* input = bufferevent_get_input(one.buffer.get());
+        auto end = evbuffer_search(input, "\r\n\r\n", 4, nullptr);
+        if (end.pos < 0) return;
+        evbuffer_drain(input, static_cast<std::size_t>(end.pos) + 4);
+        {
+            std::lock_guard hold(lock);
+            totals.sends++;
+            one.box->sends++;
+            if (one.box->forbidden > 0 && unix_now() > one.box->forbidden) totals.late_sends++;
+        }
+        auto wait = in(one.box->delay);
+        evtimer_add(one.due.get(), &wait);
+    }
+
+    void reply(Served& one) {
+        std::string out = "HTTP/1.1 200 OK\r\nX-Tell: HIT\r\nX-Report: inflight:1;x1:0.1\r\nContent-Length: " +
+                          std::to_string(one.box->bytes) + "\r\n\r\n" + std::string(one.box->bytes, 'b');
+        bufferevent_write(one.buffer.get(), out.data(), out.size());
+    }
+
+    // ---- the coordinator
+    void feed_taken(int fd) {
+        feeds.emplace_back();
+        auto& feed = feeds.back();
+        feed.buffer.reset(bufferevent_socket_new(base.get(), fd, BEV_OPT_CLOSE_ON_FREE));
+        bufferevent_setcb(
+            feed.buffer.get(),
+            [](bufferevent* buffer, void* self) { static_cast<Inner*>(self)->feed_asked(buffer); }, nullptr,
+            [](bufferevent* buffer, short what, void* self) {
+                if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+                    static_cast<Inner*>(self)->feeds.remove_if([&](auto& one) { return one.buffer.get() == buffer; });
+            },
+            this);
+        bufferevent_enable(feed.buffer.get(), EV_READ | EV_WRITE);
+    }
+
+    void feed_asked(bufferevent* buffer) {
+        char number[8];
+        if (evbuffer_get_length(bufferevent_get_input(buffer)) < sizeof number) return;
+        evbuffer_remove(bufferevent_get_input(buffer), number, sizeof number);
+        auto last = bytes::Cursor({number, sizeof number}).number(8);
+        for (auto& feed : feeds)
+            if (feed.buffer.get() == buffer) feed.asked = true;
+        for (auto& [told, frame] : events)
+            if (told > last) bufferevent_write(buffer, frame.data(), frame.size());
+        beat(buffer);
+    }
+
+    static std::string frame(std::uint64_t number, int kind, const std::string& payload) {
+        std::string out;
+        put_number(out, 4, 9 + payload.size());
+        put_number(out, 8, number);
+        put_number(out, 1, static_cast<std::uint64_t>(kind));
+        return out + payload;
+    }
+
+    void beat(bufferevent* buffer) {
+        auto nothing = frame(0, 0, "");
+        bufferevent_write(buffer, nothing.data(), nothing.size());
+    }
+
+    // ---- clients
+    void connect_clients() {
+        while (static_cast<int>(clients.size()) < wanted) {
+            auto& client = clients.emplace_back();
+            client.world = this;
+            client.buffer.reset(bufferevent_socket_new(base.get(), -1, BEV_OPT_CLOSE_ON_FREE));
+            bufferevent_setcb(
+                client.buffer.get(), [](bufferevent*, void* self) { heard(*static_cast<Client*>(self)); }, nullptr,
+                [](bufferevent*, short what, void* self) {
+                    auto& client = *static_cast<Client*>(self);
+                    if (what & BEV_EVENT_CONNECTED) client.up = true;
+                    if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) client.dead = true;
+                },
+                &client);
+            auto address = here(router_port);
+            bufferevent_enable(client.buffer.get(), EV_READ | EV_WRITE);
+            bufferevent_socket_connect(client.buffer.get(), reinterpret_cast<sockaddr*>(&address), sizeof address);
+        }
+    }
+
+    static void heard(Client& client) {
+        auto* input = bufferevent_get_input(client.buffer.get());
+        for (;;) {
+            unsigned char head[4];
+            if (evbuffer_copyout(input, head, 4) < 4) return;
+            std::size_t length = head[0] << 24 | head[1] << 16 | head[2] << 8 | head[3];
+            if (evbuffer_get_length(input) < 4 + length) return;
+            std::string content(length, '\0');
+            evbuffer_drain(input, 4);
+            evbuffer_remove(input, content.data(), length);
+            bytes::Cursor in(content);
+            in.piece(4);
+            in.piece(in.number(4));
+            auto seq = static_cast<std::int32_t>(in.number(4));
+            in.piece(1);
+            client.world->final(client, seq, static_cast<int>(in.number(2)));
+        }
+    }
+
+    void final(Client& client, std::int32_t seq, int member) {
+        auto found = client.open.find(seq);
+        if (found == client.open.end()) return;
+        auto lookup = lookups.find(found->second);
+        if (lookup == lookups.end()) return;
+        std::lock_guard hold(lock);
+        auto now = unix_now();
+        if (++lookup->second.finals > 1) return;
+        client.unanswered--;
+        if (member == 0) {
+            totals.handled++;
+            times.push_back(now - lookup->second.asked);
+        } else {
+            (member == 1 ? totals.rejected : totals.broken_off)++;
+        }
+        if (now > lookup->second.due + slack) lookup->second.finals = 100;  // as good as none
+    }
+
+    void ask_one(Client& client, Micros now) {
+        std::int32_t seq = ++client.seq;
+        auto id = next_id++;
+        lookups[id] = {now, now + wait, 0};
+        client.open[seq] = id;
+        client.unanswered++;
+        auto frame = call(seq, {{"c", "page"},
+                                {"i", hex(id * 0x9e3779b97f4a7c15u)},
+                                {"d", std::to_string(wait / 1000)},
+                                {"o", hex(1 + id % 997 * 7919)},
+                                {"part", "0"},
+                                {"group", "1"},
+                                {"m", "1"}});
+        bufferevent_write(client.buffer.get(), frame.data(), frame.size());
+        totals.asked++;
+    }
+
+    void each_tick() {
+        std::vector<std::function<void()>> now_due;
+        {
+            std::lock_guard hold(lock);
+            now_due.swap(commands);
+        }
+        for (auto& command : now_due) command();
+        auto now = unix_now();
+        if (now - last_beat >= 1'000'000) {
+            last_beat = now;
+            for (auto& feed : feeds)
+                if (feed.asked) beat(feed.buffer.get());
+        }
+        clients.remove_if([](auto& client) { return client.dead; });
+        if (per_s > 0) {
+            connect_clients();
+            owed = std::min(owed + per_s * static_cast<double>(now - last_tick) / 1e6, per_s);
+            std::vector<Client*> up;
+            for (auto& client : clients)
+                if (client.up && client.unanswered < most_open) up.push_back(&client);
+            std::lock_guard hold(lock);
+            for (std::size_t next = 0; owed >= 1 && !up.empty(); owed--) {
+                next = (next + 1) % up.size();
+                ask_one(*up[next], now);
+                if (up[next]->unanswered >= most_open) up.erase(up.begin() + static_cast<std::ptrdiff_t>(next));
+            }
+        }
+        last_tick = now;
+        judge(now);
+        auto again = in(tick);
+        if (!over) evtimer_add(timer.get(), &again);
+        if (over) event_base_loopbreak(base.get());
+    }
+
+    // A lookup whose time is up has had its one final answer, or not.
+    void judge(Micros now) {
+        std::lock_guard hold(lock);
+        for (auto& client : clients)
+            std::erase_if(client.open, [&](auto& entry) {
+                auto found = lookups.find(entry.second);
+                if (found != lookups.end() && now <= found->second.due + 2 * slack) return false;
+                if (found != lookups.end() && found->second.finals == 0) client.unanswered--;
+                return true;
+            });
+        std::erase_if(lookups, [&](auto& entry) {
+            if (now <= entry.second.due + 2 * slack) return false;
+            if (entry.second.finals != 1) totals.without_one_final++;
+            return true;
+        });
+    }
+};
+
+World::World() : inner(std::make_unique<Inner>()) {
+    inner->coordinator = inner->listen(
+        inner->coordinator_port,
+        [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) { static_cast<Inner*>(self)->feed_taken(fd); },
+        inner.get());
+    inner->timer.reset(evtimer_new(
+        inner->base.get(), [](evutil_socket_t, short, void* self) { static_cast<Inner*>(self)->each_tick(); },
+        inner.get()));
+    inner->last_tick = unix_now();
+    auto first = in(tick);
+    evtimer_add(inner->timer.get(), &first);
+    inner->thread = std::thread([this] { event_base_dispatch(inner->base.get()); });
+}
+
+World::~World() {
+    inner->over = true;
+    inner->thread.join();
+}
+
+int World::add_box(Micros delay, std::size_t bytes) {
+    return inner->run([&] {
+        inner->boxes_owned.push_back(std::make_unique<Inner::Box>());
+        auto* box = inner->boxes_owned.back().get();
+        box->world = inner.get();
+        box->delay = delay;
+        box->bytes = bytes;
+        box->listener = inner->listen(
+            box->port,
+            [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
+                auto* box = static_cast<Inner::Box*>(self);
+                box->world->taken(box, fd);
+            },
+            box);
+        std::lock_guard hold(inner->lock);
+        inner->boxes.push_back(box);
+        return static_cast<int>(inner->boxes.size()) - 1;
+    });
+}
+
+int World::port_of_box(int box) const {
+    std::lock_guard hold(inner->lock);
+    return inner->boxes.at(static_cast<std::size_t>(box))->port;
+}
+
+void World::set_delay(int box, Micros delay) {
+    inner->run([&] { inner->boxes.at(static_cast<std::size_t>(box))->delay = delay; });
+}
+
+void World::forbid(int box, Micros at) {
+    std::lock_guard hold(inner->lock);
+    inner->boxes.at(static_cast<std::size_t>(box))->forbidden = at;
+}
+
+std::uint64_t World::sends_to(int box) const {
+    std::lock_guard hold(inner->lock);
+    return inner->boxes.at(static_cast<std::size_t>(box))->sends;
+}
+
+int World::coordinator_port() const { return inner->coordinator_port; }
+
+void World::tell(std::uint64_t number, int kind, const std::string& payload) {
+    inner->run([&] {
+        auto frame = Inner::frame(number, kind, payload);
+        inner->events.emplace_back(number, frame);
+        for (auto& feed : inner->feeds)
+            if (feed.asked) bufferevent_write(feed.buffer.get(), frame.data(), frame.size());
+    });
+}
+
+void World::ask(int router_port, double per_s, int connections, Micros wait) {
+    inner->run([&] {
+        if (inner->router_port != router_port) inner->clients.clear();
+        inner->router_port = router_port;
+        inner->per_s = per_s;
+        inner->wanted = connections;
+        inner->wait = wait;
+        inner->owed = 0;
+    });
+}
+
+void World::finish() {
+    inner->run([&] { inner->per_s = 0; });
+    while (!inner->run([&] { return inner->lookups.empty(); }))
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+}
+
+Totals World::totals() const {
+    std::lock_guard hold(inner->lock);
+    return inner->totals;
+}
+
+std::vector<Micros> World::take_times() {
+    std::lock_guard hold(inner->lock);
+    return std::exchange(inner->times, {});
+}
+
+double quantile(std::vector<Micros> values, double q) {
+    if (values.empty()) return 0;
+    auto at = values.begin() + static_cast<std::ptrdiff_t>(q * static_cast<double>(values.size() - 1));
+    std::nth_element(values.begin(), at, values.end());
+    return static_cast<double>(*at);
+}
+
+}  // namespace quillgrade::rig
--- /dev/null
+++ b/src/rig/world.hpp
@@ -0,0 +1,86 @@
+// A small world round one real router, on loopback: boxes that answer over HTTP, a coordinator, and clients
+// that ask at a steady rate over framed Thrift and count their final answers. It observes from outside: what
+// it counts, the router has no part in. One thread of its own; every call may come from any thread.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace quillgrade::rig {
+
+using Micros = std::int64_t;
+Micros unix_now();
+
+struct Totals {
+    std::uint64_t asked = 0, handled = 0, rejected = 0, broken_off = 0;
+    std::uint64_t without_one_final = 0;  // none in time, or more than one; counted once a lookup's time is up
+    std::uint64_t late_sends = 0;         // requests at a box past its grace
+    std::uint64_t sends = 0;              // requests at boxes, in all
+};
+
+class World {
+public:
+    World();
+    ~World();
+
+    // A box at 127.0.0.1 that answers after so long; gives its place. `bytes`: of each answer.
+    int add_box(Micros delay = 2000, std::size_t bytes = 100);
+    int port_of_box(int box) const;
+    void set_delay(int box, Micros delay);
+    // From `at` on nothing may be sent to it: later requests are counted. 0: allowed again.
+    void forbid(int box, Micros at);
+    std::uint64_t sends_to(int box) const;
+
+    // The coordinator: events are JSON-free frames, as its protocol has them.
+    int coordinator_port() const;
+    void tell(std::uint64_t number, int kind, const std::string& payload);
+
+    // Clients that ask the router `per_s` lookups a second over `connections` connections, from now on.
+    // `wait`: a client's patience. 0 per second: none any more.
+    void ask(int router_port, double per_s, int connections = 8, Micros wait = 2'000'000);
+    // No new lookups; returns once the time of all that are out is up.
+    void finish();
+    Totals totals() const;
+    // How long each handled lookup took since the last call, microseconds.
+    std::vector<Micros> take_times();
+
+private:
+    struct Inner;
+    std::unique_ptr<Inner> inner;
+};
+
+// The q-th quantile, 0 where there is nothing.
+double quantile(std::vector<Micros> values, double q);
+
+// A router as a child process, its log read through a pipe into memory.
+class Router {
+public:
+    // `words`: the command line after the program. `config`: the file that PROXY_CONFIG names.
+    Router(const std::string& program, const std::string& config, const std::vector<std::string>& words = {});
+    ~Router();
+    int pid() const { return process; }
+    // True once the log holds `text`; false after `seconds`, or when the program has ended without it.
+    bool says(const std::string& text, double seconds = 10);
+    std::string log();
+    void signal(int number);
+    int wait();                       // its exit code, -1 where it was killed
+    double rss_mb() const;            // resident memory now
+    double cpu_seconds() const;
+
+private:
+    void read(int ms);
+    int process = -1, from = -1;
+    std::string text;
+};
+
+// The configuration of a router that stands between a World's parts, with `zones` zones of which it serves
+// the second; `boxes`: ports that the coordinator's first list names, as ids 1, 2, …
+std::string config_of(int listen_port, int coordinator_port, const std::vector<int>& boxes, int zones = 2,
+                      int memory_mb = 192, int sockets = 1024);
+int free_port();
+
+}  // namespace quillgrade::rig
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -183,6 +183,27 @@
     CHECK(quiet.pool.caches() == 0);
 }
 
+// Guards against lookups that go to a box that was taken out, over a connection that was at work meanwhile.
+TEST_CASE("a connection that was at work while its id moved to another address is not used again") {
+    Quiet quiet;
+    Listener before, after;
+    quiet.send(before.port, 0);
+    auto old = quiet.asked(before);
+    auto gone = std::get<feed::Listing>(quiet.caches({1}).what);
+    gone.complete = false;
+    gone.caches[0].entry.listed = Listed::Gone;
+    quiet.pool.list(gone);
+    gone.caches[0].entry.listed = Listed::Ready;
+    gone.caches[0].port = static_cast<std::uint16_t>(after.port);
+    quiet.pool.list(gone);
+    REQUIRE(old.send("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"));
+    CHECK(quiet.landed().outcome == Outcome::Miss);
+    CHECK(quiet.pool.links() == 0);
+    quiet.send(after.port, 1);
+    quiet.asked(after);
+    CHECK(read(old, [](auto&) { return false; }) == "");  // closed, and nothing was asked there
+}
+
 TEST_CASE("a pool that is full sends nothing and says so, whatever the cache") {
     Quiet quiet;
     quiet.pool.list(std::get<feed::Listing>(quiet.caches({1}).what));
