--- a/example/control.cpp
+++ b/example/control.cpp
@@ -30,8 +30,8 @@
                         std::cout << said.asker << " subscribes to " << kind
                                   << (said.version.empty() ? "" : ", runs " + said.version) << std::endl;
                     else if (said.turned_down)
-                        std::cout << "turned down (" << kind << " " << said.version << " stays): " << said.reason
-                                  << std::endl;
+                        std::cout << "turned down (" << kind << " " << said.version
+                                  << " stays): " << said.reason << std::endl;
                     else
                         std::cout << "acknowledged: " << kind << " " << said.version << " runs" << std::endl;
                 }
--- a/src/cli/command.cpp
+++ b/src/cli/command.cpp
@@ -19,7 +19,8 @@
     std::ifstream in(file, std::ios::binary);
     if (!in) throw site::Unusable(file + " can't be read");
     std::string text{std::istreambuf_iterator<char>(in), {}};
-    if (in.bad() || text.size() > longest_file) throw site::Unusable(file + " can't be read, or is over 1 MB");
+    if (in.bad() || text.size() > longest_file)
+        throw site::Unusable(file + " can't be read, or is over 1 MB");
     return text;
 }
 
@@ -47,7 +48,8 @@
         for (auto& fault : read.faults) fmt::print("{}: {}: {}\n", file, fault.where, fault.what);
         if (!read.faults.empty()) return 1;
         auto& plan = read.plan;
-        fmt::print("{}: good; {} control services, {}\n", file, plan.control ? plan.control->services.size() : 0,
+        fmt::print("{}: good; {} control services, {}\n", file,
+                   plan.control ? plan.control->services.size() : 0,
                    plan.store ? "versions kept in " + plan.store->path : "no store");
         return 0;
     } catch (const site::Unusable& error) {
@@ -60,7 +62,8 @@
     auto read = operate::read(text_of(file));
     if (read.faults.empty()) return std::move(read.plan);
     std::string all = file + ": ";
-    for (auto& fault : read.faults) all += (&fault == &read.faults[0] ? "" : "; ") + fault.where + ": " + fault.what;
+    for (auto& fault : read.faults)
+        all += (&fault == &read.faults[0] ? "" : "; ") + fault.where + ": " + fault.what;
     throw site::Unusable(all);
 }
 
--- a/src/discovery/contact.cpp
+++ b/src/discovery/contact.cpp
@@ -40,8 +40,8 @@
 Contact::Step Contact::next(Micros now) {
     Step step;
     Micros soonest = longest_wait;
-    bool opening = std::any_of(services.begin(), services.end(),
-                               [](auto& one) { return one.state == State::Opening; });
+    bool opening =
+        std::any_of(services.begin(), services.end(), [](auto& one) { return one.state == State::Opening; });
     for (std::size_t i = 0; i < services.size(); i++) {
         auto& one = services[i];
         if (one.state == State::Serving) break;
--- a/src/discovery/contact.hpp
+++ b/src/discovery/contact.hpp
@@ -27,8 +27,8 @@
     Contact(int services, std::uint64_t seed);
 
     Step next(Micros now);
-    void answered(int service, Micros now);  // its first whole response has come
-    void lost(int service, Micros now);      // closed, refused, silent or without sense: it was let go
+    void answered(int service, Micros now);       // its first whole response has come
+    void lost(int service, Micros now);           // closed, refused, silent or without sense: it was let go
     bool overdue(int service, Micros now) const;  // it was opened and has not answered in time
     State state(int service) const { return services[static_cast<std::size_t>(service)].state; }
     int serving() const;  // -1: none
--- a/src/discovery/message.cpp
+++ b/src/discovery/message.cpp
@@ -1,8 +1,8 @@
 #include "discovery/message.hpp"
 
-#include <algorithm>
 #include <google/protobuf/stubs/logging.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <set>
--- a/src/discovery/message.hpp
+++ b/src/discovery/message.hpp
@@ -1,5 +1,6 @@
-// Messages of the published aggregated discovery protocol, version 3 (xDS), in its state-of-the-world ("whole")
-// and incremental ("changes") forms, decoded once into small typed values and encoded once. No I/O, no state.
+// Messages of the published aggregated discovery protocol, version 3 (xDS), in its state-of-the-world
+// ("whole") and incremental ("changes") forms, decoded once into small typed values and encoded once. No I/O,
+// no state.
 //
 // decode_* throws bytes::Malformed where the outer message can't be read at all, so that there is no nonce to
 // answer to; whatever else is wrong is told in Offer::fault and can be turned down with its reason.
@@ -19,8 +20,8 @@
 enum class Kind { Boxes, Amounts, Rules, Keys };
 inline constexpr int kinds = 4;
 
-std::string_view type_url(Kind kind);             // "type.googleapis.com/quillgrade.config.v1.Boxes"
-std::string_view name_of(Kind kind);              // "Boxes"
+std::string_view type_url(Kind kind);  // "type.googleapis.com/quillgrade.config.v1.Boxes"
+std::string_view name_of(Kind kind);   // "Boxes"
 std::optional<Kind> kind_of(std::string_view type_url);
 
 enum class Form { Whole, Changes };
@@ -48,12 +49,12 @@
 // What is said to the service: first a subscription, then an answer to each response.
 struct Request {
     Kind kind = Kind::Boxes;
-    std::string type_url;                      // in place of `kind` where that is not empty
-    std::string version;                       // in force, as text; empty: none
-    std::string nonce;                         // empty: a subscription
-    std::optional<std::string> reason;         // why the response of `nonce` is turned down
-    std::map<std::string, std::string> labels; // subscription in changes: what is held, name to label
-    bool first = false;                        // the first on its stream tells who asks
+    std::string type_url;                       // in place of `kind` where that is not empty
+    std::string version;                        // in force, as text; empty: none
+    std::string nonce;                          // empty: a subscription
+    std::optional<std::string> reason;          // why the response of `nonce` is turned down
+    std::map<std::string, std::string> labels;  // subscription in changes: what is held, name to label
+    bool first = false;                         // the first on its stream tells who asks
 };
 struct Asker {
     std::string id, cluster, zone;
--- a/src/h2/session.cpp
+++ b/src/h2/session.cpp
@@ -95,16 +95,15 @@
     nghttp2_session_callbacks* calls = nullptr;
     if (nghttp2_session_callbacks_new(&calls) != 0) throw std::bad_alloc();
     nghttp2_session_callbacks_set_on_header_callback(
-        calls, [](nghttp2_session*, const nghttp2_frame* frame, const std::uint8_t* name,
-                  std::size_t name_length, const std::uint8_t* value, std::size_t length, std::uint8_t,
-                  void* self) {
+        calls,
+        [](nghttp2_session*, const nghttp2_frame* frame, const std::uint8_t* name, std::size_t name_length,
+           const std::uint8_t* value, std::size_t length, std::uint8_t, void* self) {
             auto& in = *static_cast<Inner*>(self);
             if (frame->hd.stream_id != in.call) return 0;
             std::string_view key(reinterpret_cast<const char*>(name), name_length);
             std::string_view text(reinterpret_cast<const char*>(value), length);
             if (key == ":status") std::from_chars(text.data(), text.data() + text.size(), in.http_status);
-            if (key == "grpc-status")
-                std::from_chars(text.data(), text.data() + text.size(), in.grpc_status);
+            if (key == "grpc-status") std::from_chars(text.data(), text.data() + text.size(), in.grpc_status);
             if (key == "grpc-message") in.grpc_message = text.substr(0, longest_why);
             return 0;
         });
@@ -114,9 +113,8 @@
             if (frame->hd.type == NGHTTP2_PING && (frame->hd.flags & NGHTTP2_FLAG_ACK))
                 in.events.push_back(Pong{});
             if (frame->hd.type == NGHTTP2_GOAWAY)
-                in.events.push_back(GoingAway{
-                    shown({reinterpret_cast<const char*>(frame->goaway.opaque_data),
-                           frame->goaway.opaque_data_len})});
+                in.events.push_back(GoingAway{shown({reinterpret_cast<const char*>(frame->goaway.opaque_data),
+                                                     frame->goaway.opaque_data_len})});
             if (frame->hd.type == NGHTTP2_HEADERS && frame->hd.stream_id == in.call) in.headers_done();
             return 0;
         });
@@ -176,15 +174,16 @@
         }
         return static_cast<ssize_t>(length);
     };
-    inner->call = nghttp2_submit_request(inner->session, nullptr, headers, std::size(headers), &body, nullptr);
+    inner->call =
+        nghttp2_submit_request(inner->session, nullptr, headers, std::size(headers), &body, nullptr);
     if (inner->call < 0) throw std::bad_alloc();
 }
 
 Session::~Session() = default;
 
 void Session::receive(std::string_view bytes) {
-    auto read = nghttp2_session_mem_recv(inner->session,
-                                         reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
+    auto read = nghttp2_session_mem_recv(inner->session, reinterpret_cast<const std::uint8_t*>(bytes.data()),
+                                         bytes.size());
     if (!inner->fault.empty()) throw bytes::Malformed(inner->fault);
     if (read < 0) throw bytes::Malformed(std::string("HTTP/2: ") + nghttp2_strerror(static_cast<int>(read)));
     inner->drain();
--- a/src/h2/session.hpp
+++ b/src/h2/session.hpp
@@ -26,7 +26,7 @@
 struct GoingAway {  // no new calls; this one may go on for a while
     std::string why;
 };
-struct Ended {  // the call is over
+struct Ended {   // the call is over
     int status;  // gRPC's, -1 where none was told
     std::string why;
 };
--- a/src/members/book.cpp
+++ b/src/members/book.cpp
@@ -11,14 +11,13 @@
 constexpr std::size_t many_gone = 4096;
 constexpr Micros remembered = 600'000'000;
 
-int badness(Listed listed) {
-    return listed == Listed::Gone ? 2 : listed == Listed::Draining ? 1 : 0;
-}
+int badness(Listed listed) { return listed == Listed::Gone ? 2 : listed == Listed::Draining ? 1 : 0; }
 
 bool alike(const feed::Endpoint& a, const feed::Endpoint& b) {
-    return std::tie(a.address, a.port, a.entry.listed, a.entry.rating, a.entry.kind, a.entry.cell, a.entry.zone,
-                    a.entry.started) == std::tie(b.address, b.port, b.entry.listed, b.entry.rating,
-                                                 b.entry.kind, b.entry.cell, b.entry.zone, b.entry.started);
+    return std::tie(a.address, a.port, a.entry.listed, a.entry.rating, a.entry.kind, a.entry.cell,
+                    a.entry.zone, a.entry.started) == std::tie(b.address, b.port, b.entry.listed,
+                                                               b.entry.rating, b.entry.kind, b.entry.cell,
+                                                               b.entry.zone, b.entry.started);
 }
 
 }  // namespace
@@ -32,7 +31,8 @@
 
 // Boxes of other locations are never asked, so the router is not told of them.
 bool Book::ours(const feed::Endpoint& endpoint) const {
-    return endpoint.entry.zone == zone || endpoint.entry.kind == parent_kind || endpoint.entry.kind == origin_kind;
+    return endpoint.entry.zone == zone || endpoint.entry.kind == parent_kind ||
+           endpoint.entry.kind == origin_kind;
 }
 
 const feed::Endpoint* Book::in_stream(CacheId id) const {
@@ -61,7 +61,8 @@
     return made;
 }
 
-void Book::compare(CacheId id, const feed::Endpoint* streamed, feed::Listing& changes, feed::Listing& leaving) {
+void Book::compare(CacheId id, const feed::Endpoint* streamed, feed::Listing& changes,
+                   feed::Listing& leaving) {
     auto now = member(id, streamed);
     if (now && !ours(*now)) now.reset();
     auto known = told.find(id);
@@ -159,7 +160,8 @@
     while (gone.size() > 2 * many_gone) {
         auto oldest = gone.end();
         for (auto one = gone.begin(); one != gone.end(); ++one)
-            if (!in_stream(one->first) && (oldest == gone.end() || one->second < oldest->second)) oldest = one;
+            if (!in_stream(one->first) && (oldest == gone.end() || one->second < oldest->second))
+                oldest = one;
         if (oldest == gone.end()) return;  // all are named by the version, which bounds them
         gone.erase(oldest);
     }
@@ -202,7 +204,8 @@
         if (all.size() > 200) break;
     }
     if (all.empty()) return {};
-    return "it would leave " + all + " without a server that is ready; name a zone in 'emptied' if that is meant";
+    return "it would leave " + all +
+           " without a server that is ready; name a zone in 'emptied' if that is meant";
 }
 
 }  // namespace quillgrade::members
--- a/src/members/book.hpp
+++ b/src/members/book.hpp
@@ -28,14 +28,15 @@
 
 namespace quillgrade::members {
 
-using Boxes = std::vector<feed::Endpoint>;                // by rising id, ids once each
+using Boxes = std::vector<feed::Endpoint>;               // by rising id, ids once each
 using Starts = std::vector<std::pair<CacheId, Micros>>;  // when boxes that state no start came into force
 
 class Book {
 public:
     Book(const SiteFacts& facts, const std::vector<std::string>& zones, operate::Membership membership);
 
-    // What changes for the router: new and changed boxes first, then those that have gone (make before break).
+    // What changes for the router: new and changed boxes first, then those that have gone (make before
+    // break).
     feed::Listing platform(const feed::Listing& told, Micros now);
     // `boxes` outlives the book or the next call; null: no version is in force.
     feed::Listing streamed(std::shared_ptr<const Boxes> boxes, Micros now);
@@ -66,8 +67,8 @@
     std::unordered_map<CacheId, feed::Endpoint> listed;  // by the coordinator, ready or draining
     std::unordered_map<CacheId, Micros> gone;            // told so by the coordinator, and when
     std::shared_ptr<const Boxes> boxes;
-    std::unordered_map<CacheId, Micros> started;         // of streamed boxes that state none
-    std::unordered_map<CacheId, feed::Endpoint> told;    // what the router was told last
+    std::unordered_map<CacheId, Micros> started;       // of streamed boxes that state none
+    std::unordered_map<CacheId, feed::Endpoint> told;  // what the router was told last
 };
 
 }  // namespace quillgrade::members
--- a/src/node/pool.cpp
+++ b/src/node/pool.cpp
@@ -52,8 +52,7 @@
     auto found = places.find(cache);
     Link* link = found == places.end() ? nullptr : idle_link(found->second);
     if (!link && found != places.end() && make_room()) {
-        all.push_back(
-            std::make_unique<Link>(shared, cache, found->second.address, found->second.process));
+        all.push_back(std::make_unique<Link>(shared, cache, found->second.address, found->second.process));
         link = all.back().get();
     }
     if (!link) {  // nothing was sent, and it is not the cache's doing
@@ -98,8 +97,8 @@
 void Pool::ended(Link& link, Outcome outcome, http::Reply reply) {
     out.erase({link.errand.lookup, link.errand.round});
     auto place = places.find(link.cache);
-    // Guards against lookups that go to a box that was taken out, over a connection that was at work while its
-    // id was listed again at another address.
+    // Guards against lookups that go to a box that was taken out, over a connection that was at work while
+    // its id was listed again at another address.
     if (link.idle() && place != places.end() && place->second.process == link.process)
         place->second.idle.push_back(&link);
     else
--- a/src/node/pool.hpp
+++ b/src/node/pool.hpp
@@ -30,7 +30,7 @@
         Micros started = 0;
         bool gone = false;
         std::uint64_t process = 0;  // new whenever another process or address stands behind the id
-        std::vector<Link*> idle;  // the one used last at the end
+        std::vector<Link*> idle;    // the one used last at the end
     };
     void ended(Link& link, Outcome outcome, http::Reply reply);
     void land(CacheId cache, const Errand& errand, Outcome outcome, http::Reply reply = {});
--- a/src/node/steering.cpp
+++ b/src/node/steering.cpp
@@ -124,8 +124,8 @@
         auto claim = connection.claimed.find(kind);
         if (shared.form == discovery::Form::Changes && claim != connection.claimed.end() &&
             claim->second != offer.identity) {
-            log::info("control service {} is '{}' and not '{}': asked for everything", address, offer.identity,
-                      claim->second);
+            log::info("control service {} is '{}' and not '{}': asked for everything", address,
+                      offer.identity, claim->second);
             return open(place, true);
         }
         bool afresh = !std::exchange(connection.begun[kind], true) && claim == connection.claimed.end();
@@ -145,8 +145,7 @@
     if (!proposal) return;
     auto& boxes = version::of(proposal->next, discovery::Kind::Boxes);
     static const members::Boxes none;
-    auto refusal =
-        book.would_empty(boxes ? boxes->boxes : none, boxes ? boxes->emptied : std::vector<int>{});
+    auto refusal = book.would_empty(boxes ? boxes->boxes : none, boxes ? boxes->emptied : std::vector<int>{});
     if (!refusal) refusal = keep(*proposal, now);
     if (refusal) return ledger.refused(*refusal, now);
     take_in(proposal->next, batch, now);
@@ -172,7 +171,8 @@
 
 void Steering::take_in(const version::Set& set, Gathered& batch, Micros now) {
     auto& boxes = version::of(set, discovery::Kind::Boxes);
-    auto listing = book.streamed(boxes ? std::shared_ptr<const members::Boxes>(boxes, &boxes->boxes) : nullptr, now);
+    auto listing =
+        book.streamed(boxes ? std::shared_ptr<const members::Boxes>(boxes, &boxes->boxes) : nullptr, now);
     if (!listing.caches.empty()) batch.emplace_back(feed::Event{0, std::move(listing)});
     auto& amounts = version::of(set, discovery::Kind::Amounts);
     auto told = amounts ? amounts->amounts : version::Amounts{};
@@ -182,9 +182,17 @@
 }
 
 void Steering::say() {
-    for (auto& reply : ledger.take_replies())
+    for (auto& reply : ledger.take_replies()) {
+        Service* to = nullptr;
         for (auto& [place, connection] : connections)
-            if (connection.service->id == reply.stream) connection.service->say(std::move(reply.request));
+            if (connection.service->id == reply.stream) to = connection.service.get();
+        // The service that is asked now has sent no response that this could answer.
+        if (int place = contact ? contact->serving() : -1; !to && reply.roll_back && place >= 0) {
+            to = connections.at(place).service.get();
+            reply.request.nonce.clear();
+        }
+        if (to) to->say(std::move(reply.request));
+    }
     for (auto& line : ledger.take_lines()) log::info("{}", line);
 }
 
--- a/src/node/turn.hpp
+++ b/src/node/turn.hpp
@@ -27,8 +27,8 @@
 private:
     // A lookup whose final answer is owed.
     struct Open {
-        Open(const Caller& caller, const LookupFacts& facts, std::string have, std::string body,
-             Micros taken, event_base* base, std::function<void()> due)
+        Open(const Caller& caller, const LookupFacts& facts, std::string have, std::string body, Micros taken,
+             event_base* base, std::function<void()> due)
             : caller(caller),
               facts(facts),
               have(std::move(have)),
--- a/src/operate/plan.cpp
+++ b/src/operate/plan.cpp
@@ -78,7 +78,8 @@
 };
 
 template <class T>
-void word(Members& members, const char* name, T& into, std::initializer_list<std::pair<const char*, T>> known) {
+void word(Members& members, const char* name, T& into,
+          std::initializer_list<std::pair<const char*, T>> known) {
     auto* found = members.find(name);
     if (!found) return;
     std::string words;
--- a/src/rig/control_service.cpp
+++ b/src/rig/control_service.cpp
@@ -51,7 +51,8 @@
 
     grpc::Status DeltaAggregatedResources(
         grpc::ServerContext* context,
-        grpc::ServerReaderWriter<wire::DeltaDiscoveryResponse, wire::DeltaDiscoveryRequest>* stream) override {
+        grpc::ServerReaderWriter<wire::DeltaDiscoveryResponse, wire::DeltaDiscoveryRequest>* stream)
+        override {
         Open open;
         open.changes = [stream](auto& response) { stream->Write(response); };
         return serve<wire::DeltaDiscoveryRequest>(context, *stream, open, [&](auto& request, Said& said) {
@@ -148,7 +149,8 @@
 ControlService::ControlService(std::string identity, int port)
     : inner(std::make_unique<Inner>(std::move(identity))) {
     grpc::ServerBuilder builder;
-    builder.AddListeningPort("127.0.0.1:" + std::to_string(port), grpc::InsecureServerCredentials(), &listening);
+    builder.AddListeningPort("127.0.0.1:" + std::to_string(port), grpc::InsecureServerCredentials(),
+                             &listening);
     builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
     builder.AddChannelArgument(GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, 100);
     builder.AddChannelArgument(GRPC_ARG_HTTP2_MAX_PING_STRIKES, 0);
--- a/src/rig/relay.hpp
+++ b/src/rig/relay.hpp
@@ -16,7 +16,7 @@
     void lead_to(int to_port) { target = to_port; }
     // The connections open now and later ones end after that many more bytes towards the client; -1: never.
     void cut_after(std::int64_t bytes) { left = bytes; }
-    void stand_still(bool still) { stopped = still; }  // connections stay open, nothing passes
+    void stand_still(bool still) { stopped = still; }   // connections stay open, nothing passes
     void refuse(bool refusing) { refused = refusing; }  // new connections are closed at once
     int connections() const { return taken; }
 
--- a/src/rig/router.cpp
+++ b/src/rig/router.cpp
@@ -1,14 +1,13 @@
 // A router as a child process, and the configuration it is given.
+#include <arpa/inet.h>
 #include <fcntl.h>
+#include <netinet/in.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-
 #include <chrono>
 #include <cstdlib>
 #include <fstream>
--- a/src/vault/vault.cpp
+++ b/src/vault/vault.cpp
@@ -102,7 +102,8 @@
     }
 }
 
-// The child tells 'E' and what is wrong, or 'K' and both records, or nothing at all where it was brought down.
+// The child tells 'E' and what is wrong, or 'K' and both records, or nothing at all where it was brought
+// down.
 void tell_records(int to, const operate::Store& store) {
     std::string out;
     try {
@@ -280,7 +281,8 @@
                     if (!settled.empty()) kept.settled = decode(settled, ignored, none);
                     if (!current.empty()) opened.kept = std::move(kept);
                 } catch (const NewerFormat& newer) {
-                    opened.said = std::string("store: ") + newer.what() + "; it is left alone, and no version is kept";
+                    opened.said =
+                        std::string("store: ") + newer.what() + "; it is left alone, and no version is kept";
                     return opened;
                 } catch (const bytes::Malformed& bad) {
                     torn = bad.what();
--- a/src/vault/vault.hpp
+++ b/src/vault/vault.hpp
@@ -1,10 +1,10 @@
 // The store of the last good versions: an LMDB environment in a folder of the operators' choice. It holds the
 // versions in force, written before they are acknowledged, and the last ones that had stood their trial.
 //
-// Both are written in one transaction: after kill -9 at any point the store holds the old pair or the new one,
-// whole. Each record carries its format and a checksum. What can't be read is set aside under another name,
-// never used; a store of a newer format is left alone. The store is first read in a child process, since a
-// damaged file can bring down whoever maps it.
+// Both are written in one transaction: after kill -9 at any point the store holds the old pair or the new
+// one, whole. Each record carries its format and a checksum. What can't be read is set aside under another
+// name, never used; a store of a newer format is left alone. The store is first read in a child process,
+// since a damaged file can bring down whoever maps it.
 #pragma once
 
 #include <memory>
--- a/src/version/check.cpp
+++ b/src/version/check.cpp
@@ -110,7 +110,8 @@
     for (auto& zone : message.emptied()) {
         int place = place_of(zone, allowed.terms.zones);
         if (place < 0)
-            fault(cited(name), "'emptied' names " + cited(zone) + "; zones here: " + listed(allowed.terms.zones));
+            fault(cited(name),
+                  "'emptied' names " + cited(zone) + "; zones here: " + listed(allowed.terms.zones));
         else
             reading->emptied.push_back(place);
     }
@@ -148,7 +149,8 @@
     where += " (" + cited(box.id()) + ")";
     feed::Endpoint endpoint;
     auto& entry = endpoint.entry;
-    auto id = box.id().starts_with("s-") ? bytes::read_hex(std::string_view(box.id()).substr(2), 8) : std::nullopt;
+    auto id =
+        box.id().starts_with("s-") ? bytes::read_hex(std::string_view(box.id()).substr(2), 8) : std::nullopt;
     if (!id) return fault(where, "its id is not s- and 8 lower-case hex digits");
     entry.id = *id;
     try {
@@ -170,9 +172,11 @@
     if (box.state() < 0 || box.state() > 2) return fault(where, "its state is none of READY, DRAINING, GONE");
     static constexpr Listed states[] = {Listed::Ready, Listed::Draining, Listed::Gone};
     entry.listed = states[box.state()];
-    if (!(box.weight() >= 0 && box.weight() <= most_weight)) return fault(where, "its weight is out of range");
+    if (!(box.weight() >= 0 && box.weight() <= most_weight))
+        return fault(where, "its weight is out of range");
     entry.rating = box.weight() > 0 ? box.weight() : 1;
-    if (box.started_ms() < 0 || box.started_ms() > latest_ms) return fault(where, "its start is out of range");
+    if (box.started_ms() < 0 || box.started_ms() > latest_ms)
+        return fault(where, "its start is out of range");
     entry.started = box.started_ms() * ms;
     reading->boxes.push_back(endpoint);
     add(endpoint, where);
--- a/src/version/ledger.cpp
+++ b/src/version/ledger.cpp
@@ -2,14 +2,15 @@
 
 #include <algorithm>
 #include <bit>
+#include <tuple>
 
 namespace quillgrade::version {
 
 namespace {
 
-constexpr int slice = 256;                         // boxes that are checked before others have their turn
+constexpr int slice = 256;  // boxes that are checked before others have their turn
 constexpr std::size_t most_identities = 8, most_rolled_back = 32;
-constexpr std::size_t most_owed = 4096;            // nonces of changes that were taken together
+constexpr std::size_t most_owed = 4096;  // nonces of changes that were taken together
 constexpr Micros second = 1'000'000, longest_staged = 30 * second;
 
 std::string cited(const Bundle& bundle) {
@@ -44,7 +45,9 @@
     return slot.waiting ? Phase::Waiting : Phase::None;
 }
 
-std::string Ledger::identity(Kind kind) const { return of(force, kind) ? of(force, kind)->bundle.identity : ""; }
+std::string Ledger::identity(Kind kind) const {
+    return of(force, kind) ? of(force, kind)->bundle.identity : "";
+}
 
 std::optional<std::uint64_t> Ledger::newest(const Slot& slot, const std::string& identity) const {
     std::optional<std::uint64_t> most;
@@ -107,8 +110,6 @@
         return;
     }
     auto& slot = slot_of(*offer.kind);
-    slot.stream = stream;
-    slot.nonce = offer.nonce;
     Told told;
     told.head.kind = *offer.kind;
     told.head.identity = offer.identity;
@@ -134,6 +135,7 @@
     auto& now = of(force, told.head.kind);
     if (now && same(now->bundle, now->bundle.digest) && !slot.waiting && !slot.candidate) {
         counted.repeated++;
+        std::tie(slot.stream, slot.nonce) = told.owed.back();
         return answer(told.owed, told.head.kind, "", {});
     }
     // A copy of what is under way is answered together with it.
@@ -298,11 +300,11 @@
             auto& bundle = harmful->bundle;
             rolled_back.push_back({kind, bundle.identity, bundle.number, bundle.digest, trial.reason()});
             if (rolled_back.size() > most_rolled_back) rolled_back.pop_front();
-            lines.push_back("version " + cited(bundle) + " rolled back: " + trial.reason() + "; in force again: " +
-                            (force[place] ? cited(force[place]->bundle) : "none"));
+            lines.push_back("version " + cited(bundle) + " rolled back: " + trial.reason() +
+                            "; in force again: " + (force[place] ? cited(force[place]->bundle) : "none"));
             auto& slot = slot_of(kind);
-            if (!slot.nonce.empty())
-                answer({{slot.stream, slot.nonce}}, kind, "", "rolled back: " + trial.reason());
+            answer({{slot.stream, slot.nonce}}, kind, "", "rolled back: " + trial.reason());
+            replies.back().roll_back = true;
         }
         trial.end();
         staged_changed = true;
@@ -316,6 +318,7 @@
         auto& bundle = candidate.checked->bundle;
         note_newest(slot, bundle.identity, bundle.number);
         counted.in_force++;
+        std::tie(slot.stream, slot.nonce) = candidate.told.owed.back();
         lines.push_back("version " + cited(bundle) + " in force");
         answer(candidate.told.owed, kind, "", {});
     }
--- a/src/version/ledger.hpp
+++ b/src/version/ledger.hpp
@@ -34,6 +34,7 @@
 struct Reply {
     StreamId stream;
     discovery::Request request;
+    bool roll_back = false;  // told by the router itself; where the stream has ended, another may carry it
 };
 
 // What should come into force now. The caller keeps `next` and `settled`, takes it in, and then calls
@@ -70,14 +71,15 @@
 
     // How often each has happened.
     struct Tally {
-        std::uint64_t received = 0, in_force = 0, turned_down = 0, overtaken = 0, rolled_back = 0, repeated = 0;
+        std::uint64_t received = 0, in_force = 0, turned_down = 0, overtaken = 0, rolled_back = 0,
+                      repeated = 0;
     };
     const Tally& tally() const { return counted; }
 
 private:
     using Owed = std::vector<std::pair<StreamId, std::string>>;  // nonces that wait for an answer
-    struct Told {  // a version as it came
-        Bundle head;  // without items
+    struct Told {                                                // a version as it came
+        Bundle head;                                             // without items
         discovery::Form form = discovery::Form::Whole;
         bool afresh = false;
         std::map<std::string, std::shared_ptr<Item>> changes;  // null: removed; the whole form: all items
@@ -93,9 +95,12 @@
     struct Slot {
         std::optional<Told> waiting;
         std::optional<Candidate> candidate;
-        std::deque<std::pair<std::string, std::uint64_t>> newest;  // by identity, the one heard last at the end
+        std::deque<std::pair<std::string, std::uint64_t>>
+            newest;  // by identity, the one heard last at the end
+        // With which what is in force was acknowledged last. Guards against a roll-back that is reported
+        // under the nonce of a newer version, which its service would take for turned down.
         StreamId stream = 0;
-        std::string nonce;  // the last one of that stream
+        std::string nonce;
     };
     struct RolledBack {
         Kind kind;
--- a/src/version/trial.cpp
+++ b/src/version/trial.cpp
@@ -64,10 +64,11 @@
               rate1 >= times_a_second * rate0;
     if (is) {
         char text[200];
-        std::snprintf(text, sizeof text,
-                      "it did harm: %.1f lookups a second rejected or broken off (%.0f%%) since, %.1f a second "
-                      "(%.0f%%) before",
-                      rate1, 100 * share1, rate0, 100 * share0);
+        std::snprintf(
+            text, sizeof text,
+            "it did harm: %.1f lookups a second rejected or broken off (%.0f%%) since, %.1f a second "
+            "(%.0f%%) before",
+            rate1, 100 * share1, rate0, 100 * share0);
         why = text;
     }
     return is;
