Add matching expressions: a typed rule language with a known bound on cost

Need: what counts as a lesson video and how keys are built is fixed by the wire's class; operators want to say it rule by rule, and to know beforehand what a lookup can cost. The module takes a narrower set of caches, fewer transmissions, no copies, and heeds purges by the wire's object.

--- a/src/cli/command.hpp
+++ b/src/cli/command.hpp
@@ -2,6 +2,8 @@
 //
 //   quillgrade [--operate FILE]    one router, in the foreground
 //   quillgrade check FILE          all faults of an operators' file; exit code 1 if there are any
+//   quillgrade rules check|explain|test FILE --config CONFIG
+//                                  a file of rules: all its faults; why a lookup matches; examples as tests
 #pragma once
 
 #include <optional>
@@ -12,8 +14,10 @@
 namespace quillgrade::cli {
 
 struct Command {
-    enum class What { Run, Check } what = What::Run;
-    std::string file;  // the operators' file; empty: none
+    enum class What { Run, Check, RulesCheck, RulesExplain, RulesTest } what = What::Run;
+    std::string file;  // the operators' file, empty: none; or the rules
+    std::string config, lookup, examples;  // of the rules' commands
+    double budget = 20'000;
 };
 
 // The command, or the exit code where there is nothing to do but leave: help was printed, or what is wrong.
@@ -23,6 +27,7 @@
 };
 Parsed parse(int count, const char* const* words);
 
+int carry_out(const Command& command);  // all but Run; the exit code
 int check(const std::string& file);  // prints to standard output; the exit code
 
 // Throws site::Unusable that names the file and all faults.
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -338,7 +338,7 @@
         Micros since = std::max<Micros>(1, now - found->second.at);
         oldest = oldest > 0 ? std::min(oldest, since) : since;
     };
-    heed(router.purged_objects, lookup.object);
+    heed(router.purged_objects, lookup.wire_object ? lookup.wire_object : lookup.object);
     heed(router.purged_groups, lookup.group);
     return oldest == fresh ? 0 : oldest;
 }
@@ -486,6 +486,9 @@
     for (auto* cache : in_hash_order(router, part_key(held.facts), is_edge)) {
         if (!may_send(router, held, *cache, now) || !within_cold_budget(router, *cache, work, now)) continue;
         if (holds(held.failed_at, cache->id)) continue;
+        if (auto* among = held.facts.among.get();
+            among && !among->empty() && !std::binary_search(among->begin(), among->end(), cache->id))
+            continue;
         if (complaint(router, *cache, now)) {
             if (held.rounds.empty() && on_trial(router, *cache, now)) return cache;
             if (!last && cache->unreached_at == 0) last = cache;
@@ -503,12 +506,15 @@
     return least ? least : last;
 }
 
+bool may_copy(const Router& router, const Held& held) { return router.second_copies && !held.facts.no_copies; }
+
 // Rule 2: nothing is sent again that may have run, unless the traffic type allows it there and then.
 bool may_send(Router& router, const Held& held, const Server& to, Micros now) {
     auto& type = router.traffic[held.facts.traffic];
-    if (held.done || static_cast<int>(held.rounds.size()) >= router.transmissions_cap) return false;
+    int cap = router.transmissions_cap, own = held.facts.most_transmissions;
+    if (held.done || static_cast<int>(held.rounds.size()) >= (own > 0 ? std::min(own, cap) : cap)) return false;
     for (auto& round : held.rounds) {
-        if (round.out && !router.second_copies) return false;
+        if (round.out && !may_copy(router, held)) return false;
         if (!round.out && !round.may_have_run) continue;
         if (type.effect == Effect::Rerunnable) continue;
         if (type.effect == Effect::Exclusive || now - round.sent >= type.window) return false;
@@ -759,7 +765,7 @@
 bool overdue(const Router& router, const Held& held, const RoundOut& round, Micros now) {
     auto& type = router.traffic[held.facts.traffic];
     auto extra = recent(type.extra, now, report_life);
-    return router.second_copies && type.effect == Effect::Rerunnable && router.credit >= most_credit / 2 &&
+    return may_copy(router, held) && type.effect == Effect::Rerunnable && router.credit >= most_credit / 2 &&
            extra.size() >= many / 2 && now - round.sent >= held.sending + median(extra, 0, nearly_all) &&
            crowd(router, now) < crowded && link_crowd(router, now) < link_crowded &&
            median(all(type.fill_room), 0) < usual_fill_room;
@@ -784,7 +790,7 @@
             if (sound) held.failed_from.push_back(round.source);
         }
     if (out != 1) return answer;
-    if (!router.second_copies) {
+    if (!may_copy(router, held)) {
         if (router.withdraw && router.traffic[held.facts.traffic].effect == Effect::Rerunnable) {
             held.moving = true;
             withdraw_rest(router, held, answer);
--- a/src/control.hpp
+++ b/src/control.hpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -87,6 +88,11 @@
     double kbytes;  // 0 where not told
     int group, part;
     bool repeat, write;
+    // What rules have narrowed.
+    ObjectId wire_object = 0;    // that purges name, where `object` is a key made of it; else 0
+    int most_transmissions = 0;  // 0: as the site has it
+    bool no_copies = false;
+    std::shared_ptr<const std::vector<CacheId>> among = nullptr;  // sorted; null or empty: all caches
 };
 
 struct AttemptEnd {
@@ -269,6 +275,7 @@
 double link_crowd(const Router& router, Micros now);
 double fill_crowd(const Router& router, int traffic, Micros now);
 bool too_large(const Router& router, const Held& held, double crowd, double from, double to, bool by_work);
+bool may_copy(const Router& router, const Held& held);
 bool may_send(Router& router, const Held& held, const Server& to, Micros now);
 bool may_reject(const Router& router, const Held& held);
 Server* find_server(Router& router, CacheId id);
--- a/src/http/request.cpp
+++ b/src/http/request.cpp
@@ -26,7 +26,9 @@
     request.head.reserve(512);
     auto put = std::back_inserter(request.head);
     fmt::format_to(put, "GET /data/{}/{:016x}/{} HTTP/1.1\r\nHost: {}\r\nX-Hop-Id: {:016x}\r\n", traffic,
-                   lookup.object, lookup.part, cache_name(order.cache), lookup.id);
+                   lookup.wire_object ? lookup.wire_object : lookup.object, lookup.part,
+                   cache_name(order.cache), lookup.id);
+    if (lookup.wire_object) fmt::format_to(put, "X-Key: {:016x}\r\n", lookup.object);
     if (order.source != 0 && order.source != order.cache)
         fmt::format_to(put, "X-Parent: {}\r\n", cache_name(order.source));
     if (order.rank > 0) fmt::format_to(put, "X-Rank: {}\r\n", order.rank);
--- a/src/launch/launch.cpp
+++ b/src/launch/launch.cpp
@@ -64,6 +64,10 @@
     }
 }
 
+route::Site Launch::rule_site() const {
+    return {terms.traffic, terms.zones, terms.kinds, facts.traffic, facts.transmissions_cap};
+}
+
 Launch from_environment() {
     const char* path = std::getenv("PROXY_CONFIG");
     if (!path) throw Unusable("PROXY_CONFIG is not set");
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -14,8 +14,7 @@
         auto parsed = quillgrade::cli::parse(count, words);
         if (!parsed.command) return parsed.exit_code;
         auto& command = *parsed.command;
-        if (command.what == quillgrade::cli::Command::What::Check)
-            return quillgrade::cli::check(command.file);
+        if (command.what != quillgrade::cli::Command::What::Run) return quillgrade::cli::carry_out(command);
         auto launch = quillgrade::launch::from_environment();
         auto plan =
             command.file.empty() ? quillgrade::operate::Plan{} : quillgrade::cli::plan_of(command.file);
--- a/src/node/client.cpp
+++ b/src/node/client.cpp
@@ -7,12 +7,14 @@
 namespace {
 
 constexpr std::size_t most_open = 32;  // calls on one connection, by the protocol
+const std::vector<thrift::Wanted> nothing;
 
 }  // namespace
 
-Client::Client(Shared& shared, int fd, ClientId id)
+Client::Client(Shared& shared, int fd, ClientId id, std::uint32_t address)
     : shared(shared),
       id(id),
+      address(address),
       active(shared.clock.now()),
       stream(shared.base, fd,
              {.bytes = [this](std::string_view bytes) { heard(bytes); },
@@ -27,7 +29,7 @@
     try {
         frames.add(bytes);
         while (auto frame = frames.next()) {
-            call(thrift::decode(*frame, shared.terms.traffic));
+            call(thrift::decode(*frame, shared.terms.traffic, shared.wanted ? *shared.wanted : nothing));
             active = shared.clock.now();
             has_spoken = true;
         }
@@ -74,7 +76,7 @@
     open[lookup.seq] = {lookup.facts.id, lookup.body.size()};
     bodies += lookup.body.size();
     Caller caller{id, lookup.seq};
-    shared.gathered.emplace_back(Arrived{caller, std::move(lookup), shared.clock.now()});
+    shared.gathered.emplace_back(Arrived{caller, std::move(lookup), shared.clock.now(), address});
 }
 
 void Client::answer(std::int32_t seq, std::string_view frame) {
--- a/src/node/client.hpp
+++ b/src/node/client.hpp
@@ -19,8 +19,9 @@
         Clock& clock;
         Gathered& gathered;
         bool ready = false;  // what a ping is told
+        const std::vector<thrift::Wanted>* wanted = nullptr;  // named fields that rules ask for
     };
-    Client(Shared& shared, int fd, ClientId id);
+    Client(Shared& shared, int fd, ClientId id, std::uint32_t address);
 
     void answer(std::int32_t seq, std::string_view frame);
     bool over() const;  // to be dropped between passes of the loop
@@ -38,6 +39,7 @@
 
     Shared& shared;
     ClientId id;
+    std::uint32_t address;
     bytes::Frames frames{thrift::longest_frame};
     struct Open {
         LookupId lookup;
--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -43,8 +43,9 @@
     address.sin_port = htons(at.port);
     listener.reset(evconnlistener_new_bind(
         shared.base,
-        [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
-            static_cast<Front*>(self)->accepted(fd);
+        [](evconnlistener*, evutil_socket_t fd, sockaddr* from, int, void* self) {
+            auto* inet = reinterpret_cast<sockaddr_in*>(from);
+            static_cast<Front*>(self)->accepted(fd, inet->sin_family == AF_INET ? ntohl(inet->sin_addr.s_addr) : 0);
         },
         this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, waiting_connections,
         reinterpret_cast<sockaddr*>(&address), sizeof address));
@@ -54,9 +55,9 @@
     });
 }
 
-void Front::accepted(int fd) {
+void Front::accepted(int fd, std::uint32_t address) {
     last_id++;
-    clients.try_emplace(last_id, shared, fd, last_id);
+    clients.try_emplace(last_id, shared, fd, last_id, address);
     if (clients.size() >= most_clients) pause();
 }
 
--- a/src/node/front.hpp
+++ b/src/node/front.hpp
@@ -12,6 +12,7 @@
     Front(Client::Shared shared, int most_clients, std::size_t most_held);
     void listen(const feed::Address& at);  // throws std::runtime_error
     void stop_listening() { listener.reset(); }
+    void want(const std::vector<thrift::Wanted>* fields) { shared.wanted = fields; }
     void set_ready(bool ready) { shared.ready = ready; }
     void answer(const Caller& caller, std::string_view frame);
     void sweep();  // between passes of the loop
@@ -20,7 +21,7 @@
     std::size_t connected() const { return clients.size(); }
 
 private:
-    void accepted(int fd);
+    void accepted(int fd, std::uint32_t address);
     void refused(int error);
     void pause();
     void resume();
--- a/src/node/gathered.hpp
+++ b/src/node/gathered.hpp
@@ -9,6 +9,7 @@
 #include "feed/event.hpp"
 #include "http/reply.hpp"
 #include "thrift/message.hpp"
+#include "route/rules.hpp"
 #include "version/bundle.hpp"
 
 namespace quillgrade::node {
@@ -26,6 +27,7 @@
     Caller caller;
     thrift::Lookup lookup;
     Micros at;
+    std::uint32_t address = 0;  // the client's, IPv4
 };
 struct Left {  // the client has stopped waiting
     Caller caller;
@@ -51,6 +53,7 @@
 struct TendDue {};
 
 using Gathered =
-    std::vector<std::variant<Arrived, Left, Landed, Probed, feed::Event, LookDue, TendDue, version::Amounts>>;
+    std::vector<std::variant<Arrived, Left, Landed, Probed, feed::Event, LookDue, TendDue, version::Amounts,
+                             std::shared_ptr<const route::RuleSet>>>;
 
 }  // namespace quillgrade::node
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <csignal>
 #include <exception>
+#include <fstream>
+#include <iterator>
 #include <new>
 #include <utility>
 
@@ -18,6 +20,14 @@
 constexpr Micros arrivals_last = 800 * ms, quiet_for = 200 * ms, longest_counted = 3000 * ms,
                  before_kill = 700 * ms, to_spare = 450 * ms, to_flush = 200 * ms, check_every = 20 * ms;
 
+constexpr int rules_a_slice = 64;  // statements
+
+std::string text_of_file(const std::string& path) {
+    std::ifstream file(path, std::ios::binary);
+    if (!file) throw site::Unusable(path + " can't be read");
+    return {std::istreambuf_iterator<char>(file), {}};
+}
+
 event_base* make_base() {
     auto* base = event_base_new();
     if (!base) throw std::bad_alloc();
@@ -36,7 +46,18 @@
       pool(base.get(), terms, clock, gathered, launch.room.caches, launch.room.coming),
       turn(launch, base.get(), gathered, front, pool),
       coordinator(base.get(), launch.coordinator, terms, launch.known.last, gathered),
+      rule_site(launch.rule_site()),
       check(base.get(), [this] { check.set(check_every); }) {
+    if (plan.rules && !plan.rules->file.empty()) {
+        route::Loader loader(text_of_file(plan.rules->file), rule_site, plan.rules->budget);
+        while (!loader.step(1000)) {
+        }
+        if (!loader.result()) throw site::Unusable(plan.rules->file + ":\n" + loader.report());
+        for (auto& warning : loader.warnings()) log::warning("rules: {}", warning.what);
+        file_rules = loader.result();
+        log::info("rules: {} in force, at most {} units a lookup", file_rules->all().size(), file_rules->bound());
+        gathered.emplace_back(file_rules);
+    }
     if (plan.control) steering = std::make_unique<Steering>(base.get(), plan, launch, clock, terms);
     auto on_signal = [](evutil_socket_t, short, void* self) { static_cast<Node*>(self)->told_to_leave(); };
     std::signal(SIGPIPE, SIG_IGN);
@@ -81,7 +102,7 @@
     while (phase != Phase::Over) {
         step();
         if (phase == Phase::Over) break;
-        bool idle = gathered.empty() && !(steering && steering->busy());
+        bool idle = gathered.empty() && !(steering && steering->busy()) && !loading;
         event_base_loop(base.get(), idle ? EVLOOP_ONCE : EVLOOP_ONCE | EVLOOP_NONBLOCK);
     }
 }
@@ -117,7 +138,29 @@
 }
 
 void Node::steer(Micros now) {
-    if (steering) steering->pass(gathered, turn.counts(), now);
+    if (loading) load_rules();
+    if (!steering) return;
+    steering->pass(gathered, turn.counts(), now);
+    // Where no version of rules is in force, the operators' file has the word.
+    for (auto& value : gathered)
+        if (auto* rules = std::get_if<std::shared_ptr<const route::RuleSet>>(&value)) {
+            if (*rules != file_rules) streamed_rules = *rules != nullptr;
+            if (!*rules) *rules = file_rules;
+        }
+}
+
+// A slice of the rules' file that SIGHUP has told to read again.
+void Node::load_rules() {
+    if (!loading->step(rules_a_slice)) return;
+    auto loaded = loading->result();
+    if (!loaded) log::warning("rules not taken, the old ones stay:\n{}", loading->report());
+    for (auto& warning : loading->warnings()) log::warning("rules: {}", warning.what);
+    loading.reset();
+    if (!loaded) return;
+    file_rules = loaded;
+    log::info("rules: {} {}, at most {} units a lookup", loaded->all().size(),
+              streamed_rules ? "read, a version is in force instead" : "in force", loaded->bound());
+    if (!streamed_rules) gathered.emplace_back(loaded);
 }
 
 // SIGHUP. Guards against a router that ends with what it holds because of a file: whatever is wrong with the
@@ -140,11 +183,14 @@
         auto told = plan_again();
         auto rest = [](operate::Plan of) {
             if (of.control) of.control->services.clear();
+            of.rules.reset();
             return of;
         };
         auto before = rest(plan), after = rest(told);
         if (before.control != after.control || before.store != after.store)
             log::warning("operators' file: more than 'services' has changed, which wants a restart");
+        if (told.rules && !told.rules->file.empty())
+            loading.emplace(text_of_file(told.rules->file), rule_site, told.rules->budget);
         if (steering && told.control) {
             plan.control->services = told.control->services;
             steering->move_to(told.control->services);
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -41,6 +41,7 @@
     void step();
     void steer(Micros now);
     void read_plan_again();
+    void load_rules();
     void told_to_leave();
     void read_again();
 
@@ -56,6 +57,10 @@
     Turn turn;
     Coordinator coordinator;
     std::unique_ptr<Steering> steering;  // null: off
+    const route::Site rule_site;
+    std::shared_ptr<const route::RuleSet> file_rules;  // of the operators' file
+    std::optional<route::Loader> loading;              // the same, read again
+    bool streamed_rules = false;                       // a version of Rules is in force
     Phase phase = Phase::Starting;
     Micros leave_at = 0, last_arrival = 0;
     Timer check;
--- a/src/node/pool.cpp
+++ b/src/node/pool.cpp
@@ -30,6 +30,7 @@
             place.process = ++last_process;
         }
         place.address = address;
+        place.entry = endpoint.entry;
         place.started = endpoint.entry.started;
     }
     // Guards against memory that grows as caches come and go under ever new ids.
@@ -43,6 +44,12 @@
     }
 }
 
+std::vector<feed::Endpoint> Pool::listed() const {
+    std::vector<feed::Endpoint> all;
+    for (auto& [cache, place] : places) all.push_back({place.entry, place.address.host, place.address.port});
+    return all;
+}
+
 void Pool::forget(Place& place) {
     for (auto* link : place.idle) link->drop();
     place.idle.clear();
--- a/src/node/pool.hpp
+++ b/src/node/pool.hpp
@@ -23,10 +23,12 @@
     void sweep();  // between passes of the loop
     std::size_t links() const { return all.size(); }
     std::size_t caches() const { return places.size(); }
+    std::vector<feed::Endpoint> listed() const;
 
 private:
     struct Place {
         feed::Address address;
+        ListEntry entry{};
         Micros started = 0;
         bool gone = false;
         std::uint64_t process = 0;  // new whenever another process or address stands behind the id
--- a/src/node/steering.cpp
+++ b/src/node/steering.cpp
@@ -17,6 +17,12 @@
     return std::clamp(room.unsent / 4, least_version, most_version);  // room.unsent is a quarter of the limit
 }
 
+version::Allowed allowed(const operate::Plan& plan, const launch::Launch& launch) {
+    auto made = version::allowed_by(launch.facts, launch.terms);
+    if (plan.rules) made.rule_budget = plan.rules->budget;
+    return made;
+}
+
 }  // namespace
 
 Steering::Steering(event_base* base, const operate::Plan& plan, const launch::Launch& launch, Clock& clock,
@@ -30,7 +36,7 @@
              {launch.name, control.cluster, launch.terms.zones[static_cast<std::size_t>(launch.facts.zone)]},
              longest_version(control, launch.room)},
       book(launch.facts, launch.terms.zones, control.membership),
-      ledger(version::allowed_by(launch.facts, launch.terms), control.kinds,
+      ledger(allowed(plan, launch), control.kinds,
              {control.trial, control.trial_for, control.trial_rise}),
       store(plan.store),
       wake(base, [] {}) {
@@ -179,6 +185,10 @@
     terms.connect_time = told.connect_time.value_or(launch.terms.connect_time);
     terms.idle_time = told.idle_time.value_or(launch.terms.idle_time);
     batch.emplace_back(told);
+    auto& rules = version::of(set, discovery::Kind::Rules);
+    auto now_running = rules ? rules->rules : nullptr;
+    if (now_running != running_rules) batch.emplace_back(now_running);
+    running_rules = now_running;
 }
 
 void Steering::say() {
--- a/src/node/steering.hpp
+++ b/src/node/steering.hpp
@@ -60,6 +60,7 @@
     version::StreamId last_stream = 0;
     std::uint64_t said_turned_down = 0;
     bool started = false;
+    std::shared_ptr<const route::RuleSet> running_rules;
     Timer wake;
 };
 
--- a/src/node/turn.cpp
+++ b/src/node/turn.cpp
@@ -11,6 +11,7 @@
     : base(base),
       terms(launch.terms),
       facts(launch.facts),
+      launch(launch),
       gathered(gathered),
       front(front),
       pool(pool),
@@ -36,6 +37,7 @@
         return;
     }
     facts.due = arrived.at + arrived.lookup.wait;
+    if (routes) narrow(arrived, facts);
     if (leave_by) facts.due = std::min(facts.due, *leave_by);
     facts.write = router.traffic[facts.traffic].write;
     auto id = facts.id;
@@ -81,6 +83,7 @@
         std::vector<ListEntry> entries;
         for (auto& endpoint : listing->caches) entries.push_back(endpoint.entry);
         pool.list(*listing);
+        if (routes) routes->list(*listing);
         router.list(entries, listing->complete, now);
     } else if (auto* purge = std::get_if<feed::PurgeNotice>(&event.what)) {
         router.purged(purge->object, purge->group, std::max<Micros>(0, now - purge->at), now);
@@ -104,6 +107,34 @@
         facts.retry_after ? amounts.come_back.value_or(facts.most_retry_after) : Micros{0};
 }
 
+void Turn::tell(std::shared_ptr<const route::RuleSet>& rules) {
+    if (!routes && !rules) return;
+    if (!routes) {
+        routes.emplace(launch.rule_site());
+        feed::Listing all{.complete = true, .caches = pool.listed()};
+        routes->list(all);
+    }
+    routes->put_in_force(std::move(rules));
+    wanted.clear();
+    for (auto& field : routes->named()) wanted.push_back({field.name, field.longest});
+    front.want(wanted.empty() ? nullptr : &wanted);
+}
+
+void Turn::narrow(const Arrived& arrived, LookupFacts& facts) {
+    route::Told told;
+    told.traffic = facts.traffic;
+    told.object = facts.object;
+    told.part = facts.part;
+    told.group = facts.group;
+    told.bytes = static_cast<std::int64_t>(std::min(facts.kbytes, 1e12) * 1000);
+    told.remaining = facts.due - now;
+    told.now = now;
+    told.retry = facts.repeat;
+    told.client = arrived.address;
+    for (auto& [name, value] : arrived.lookup.named) told.named.emplace_back(name, value);
+    routes->narrow(told, facts, arrived.at);
+}
+
 void Turn::count(bool bad) {
     ends.ended++;
     ends.bad += bad;
--- a/src/node/turn.hpp
+++ b/src/node/turn.hpp
@@ -10,6 +10,7 @@
 #include "launch/launch.hpp"
 #include "node/front.hpp"
 #include "node/pool.hpp"
+#include "route/live.hpp"
 #include "version/trial.hpp"
 
 namespace quillgrade::node {
@@ -60,6 +61,8 @@
     void tell(LookDue& due);
     void tell(TendDue& due);
     void tell(version::Amounts& amounts);
+    void tell(std::shared_ptr<const route::RuleSet>& rules);
+    void narrow(const Arrived& arrived, LookupFacts& facts);
     void count(bool bad);
     void made(Made one);
     void carry_out(Made& made);
@@ -68,6 +71,7 @@
     event_base* base;
     const site::Terms& terms;
     const SiteFacts& facts;
+    const launch::Launch& launch;
     Gathered& gathered;
     Front& front;
     Pool& pool;
@@ -76,6 +80,8 @@
     std::vector<Made> answers;
     std::vector<CacheId> probes;
     std::optional<Micros> leave_by;
+    std::optional<route::Live> routes;  // once there have been rules
+    std::vector<thrift::Wanted> wanted;
     version::Counts ends;
     Micros now = 0;
     Timer upkeep;
--- a/src/operate/plan.cpp
+++ b/src/operate/plan.cpp
@@ -121,8 +121,10 @@
             control.kinds.push_back(discovery::Kind::Boxes);
         else if (one == "amounts")
             control.kinds.push_back(discovery::Kind::Amounts);
+        else if (one == "rules")
+            control.kinds.push_back(discovery::Kind::Rules);
         else
-            members.fault("kinds", "\"boxes\" or \"amounts\" is expected, not " + one.dump().substr(0, 60));
+            members.fault("kinds", "\"boxes\", \"amounts\" or \"rules\" is expected, not " + one.dump().substr(0, 60));
     }
     auto repeated = control.kinds;
     std::sort(repeated.begin(), repeated.end());
@@ -167,6 +169,13 @@
     members.yes_or_no("sync", store.sync);
 }
 
+void read_rules(Members& members, RuleFile& rules) {
+    members.text("file", rules.file, longest_path);
+    double budget = static_cast<double>(rules.budget);
+    members.number("budget", budget, 100, 1e9);
+    rules.budget = static_cast<std::uint64_t>(budget);
+}
+
 std::string line_of(std::string_view text, std::size_t byte) {
     auto before = text.substr(0, std::min(byte > 0 ? byte - 1 : 0, text.size()));
     auto line = std::count(before.begin(), before.end(), '\n') + 1;
@@ -214,6 +223,10 @@
         auto inner = members.inner("store", *store);
         read_store(inner, read.plan.store.emplace());
     }
+    if (auto* rules = members.find("rules")) {
+        auto inner = members.inner("rules", *rules);
+        read_rules(inner, read.plan.rules.emplace());
+    }
     return read;
 }
 
--- a/src/operate/plan.hpp
+++ b/src/operate/plan.hpp
@@ -39,9 +39,16 @@
     bool operator==(const Store&) const = default;
 };
 
+struct RuleFile {
+    std::string file;  // in force while no version of Rules is; empty: none
+    std::uint64_t budget = 20'000;  // units a lookup may cost, also for versions
+    bool operator==(const RuleFile&) const = default;
+};
+
 struct Plan {
     std::optional<Control> control;
     std::optional<Store> store;
+    std::optional<RuleFile> rules;
 };
 
 struct Fault {
--- a/src/thrift/message.cpp
+++ b/src/thrift/message.cpp
@@ -91,7 +91,7 @@
 }
 
 Message read_lookup(std::int32_t seq, const Fields& fields, std::string_view body,
-                    const std::vector<std::string>& traffic) {
+                    const std::vector<std::string>& traffic, const std::vector<Wanted>& wanted) {
     auto field = [&](std::string_view name) {
         auto found = fields.find(name);
         return found == fields.end() ? std::string_view{} : found->second;
@@ -127,6 +127,9 @@
                     .write = false};
     lookup.wait = *wait * ms;
     lookup.body = body;
+    for (auto& one : wanted)
+        if (auto found = fields.find(one.name); found != fields.end() && found->second.size() <= one.longest)
+            lookup.named.emplace_back(one.name, found->second);
     return lookup;
 }
 
@@ -190,7 +193,8 @@
 
 }  // namespace
 
-Message decode(std::string_view frame, const std::vector<std::string>& traffic) {
+Message decode(std::string_view frame, const std::vector<std::string>& traffic,
+               const std::vector<Wanted>& wanted) {
     Cursor in(frame);
     auto head = static_cast<std::uint32_t>(in.number(4));
     int kind = head & 0xff;
@@ -210,7 +214,7 @@
                 return false;
             return true;
         });
-        return read_lookup(seq, fields, body, traffic);
+        return read_lookup(seq, fields, body, traffic, wanted);
     }
     if (name == "abort") {
         Abort abort{0};
--- a/src/thrift/message.hpp
+++ b/src/thrift/message.hpp
@@ -21,6 +21,12 @@
     LookupFacts facts{};
     Micros wait = 0;
     std::string have, body;
+    std::vector<std::pair<std::string, std::string>> named;  // of those that were wanted
+};
+// A field whose value is kept, if it is not longer.
+struct Wanted {
+    std::string name;
+    std::size_t longest;
 };
 struct Ping {
     std::int32_t seq;
@@ -39,7 +45,8 @@
 using Message = std::variant<Lookup, Ping, Abort, BadLookup, UnknownCall>;
 
 // The traffic types' names stand in the order of the settings. Throws bytes::Malformed.
-Message decode(std::string_view frame, const std::vector<std::string>& traffic);
+Message decode(std::string_view frame, const std::vector<std::string>& traffic,
+               const std::vector<Wanted>& wanted = {});
 
 std::optional<std::int32_t> seq_of(const Message& message);  // of a call that is owed an answer
 
--- a/src/version/bundle.cpp
+++ b/src/version/bundle.cpp
@@ -23,7 +23,12 @@
 }
 
 Allowed allowed_by(const SiteFacts& facts, const site::Terms& terms) {
-    return {terms, facts.transmissions_cap, facts.second_copies, facts.most_retry_after};
+    return {terms,
+            facts.transmissions_cap,
+            facts.second_copies,
+            facts.most_retry_after,
+            {terms.traffic, terms.zones, terms.kinds, facts.traffic, facts.transmissions_cap},
+            route::usual_budget};
 }
 
 }  // namespace quillgrade::version
--- a/src/version/bundle.hpp
+++ b/src/version/bundle.hpp
@@ -12,6 +12,7 @@
 #include "control.hpp"
 #include "discovery/message.hpp"
 #include "feed/event.hpp"
+#include "route/rules.hpp"
 #include "site/site.hpp"
 
 namespace quillgrade::version {
@@ -61,6 +62,7 @@
     std::vector<feed::Endpoint> boxes;  // of all items, by rising id
     std::vector<int> emptied;
     Amounts amounts;
+    std::shared_ptr<const route::RuleSet> rules;  // of kind Rules
     std::vector<Need> needs;
 };
 
@@ -77,6 +79,8 @@
     int transmissions = 1;
     bool second_copies = false;
     Micros come_back = 0;
+    route::Site rule_site;
+    std::uint64_t rule_budget = route::usual_budget;
 };
 Allowed allowed_by(const SiteFacts& facts, const site::Terms& terms);
 
--- a/src/version/check.cpp
+++ b/src/version/check.cpp
@@ -62,7 +62,48 @@
     return all;
 }
 
+bool Check::take_needs(const std::string& name, const auto& message) {
+    for (auto& need : message.needs()) {
+        auto kind = discovery::kind_of(need.type_url());
+        if (!kind)
+            fault(cited(name), "needs a resource of the unknown type " + cited(need.type_url()));
+        else
+            checked->needs.push_back({*kind, need.name()});
+    }
+    return true;
+}
+
+// Rules are one text, the resources' in the order of their names.
+bool Check::step_rules(int statements) {
+    if (!rules) {
+        std::string all;
+        for (auto& [name, item] : checked->bundle.items) {
+            wire::Rules message;
+            if (!message.ParseFromString(item->bytes)) {
+                fault(cited(name), "is no message of kind Rules");
+                return done = true;
+            }
+            take_needs(name, message);
+            all += message.text();
+            if (!all.ends_with('\n')) all += '\n';
+        }
+        std::sort(checked->needs.begin(), checked->needs.end());
+        if (before && before->bundle.digest == checked->bundle.digest) {
+            checked->rules = before->rules;
+            return done = true;
+        }
+        rules.emplace(std::move(all), allowed.rule_site, allowed.rule_budget);
+    }
+    if (!rules->step(statements)) return false;
+    for (auto& one : rules->faults())
+        fault("line " + std::to_string(one.place.line) + ", column " + std::to_string(one.place.column), one.what);
+    checked->rules = rules->result();
+    rules.reset();
+    return done = true;
+}
+
 bool Check::step(int boxes) {
+    if (checked->bundle.kind == Kind::Rules && !done) return step_rules(std::max(1, boxes / 4));
     auto& items = checked->bundle.items;
     while (!done && boxes > 0) {
         if (reading) {
@@ -224,13 +265,7 @@
         else
             amounts.second_copies = message.second_copies();
     }
-    for (auto& need : message.needs()) {
-        auto kind = discovery::kind_of(need.type_url());
-        if (!kind)
-            fault(cited(name), "needs a resource of the unknown type " + cited(need.type_url()));
-        else
-            checked->needs.push_back({*kind, need.name()});
-    }
+    take_needs(name, message);
 }
 
 }  // namespace quillgrade::version
--- a/src/version/check.hpp
+++ b/src/version/check.hpp
@@ -28,6 +28,8 @@
     void finish_item();
     void read_amounts(const std::string& name, const Item& item);
     void take_needs(const BoxesRead& read);
+    bool take_needs(const std::string& name, const auto& message);
+    bool step_rules(int statements);
 
     const Allowed& allowed;
     std::shared_ptr<const Checked> before;
@@ -36,6 +38,7 @@
     std::shared_ptr<BoxesRead> reading;  // of the item at `at`
     std::vector<std::string> raw;        // its boxes, not read yet from `next` on
     std::size_t next = 0;
+    std::optional<route::Loader> rules;  // of kind Rules: the texts of all items, one after another
     std::unordered_set<CacheId> ids;
     std::unordered_map<std::uint64_t, CacheId> places;  // address and port of what is not gone
     std::vector<std::string> told;
