--- a/src/cli/command.cpp
+++ b/src/cli/command.cpp
@@ -39,7 +39,8 @@
     auto of_rules = [&](const char* name, const char* what) {
         auto* made = rules->add_subcommand(name, what);
         made->add_option("file", command.file, "the rules")->required();
-        made->add_option("--config", command.config, "the router's configuration: traffic types, zones, kinds")
+        made->add_option("--config", command.config,
+                         "the router's configuration: traffic types, zones, kinds")
             ->required();
         return made;
     };
@@ -64,11 +65,16 @@
 int carry_out(const Command& command) {
     try {
         switch (command.what) {
-            case Command::What::Run: break;
-            case Command::What::Check: return check(command.file);
-            case Command::What::RulesCheck: return rules_check(command.file, command.config, command.budget);
-            case Command::What::RulesExplain: return rules_explain(command.file, command.config, command.lookup);
-            case Command::What::RulesTest: return rules_test(command.file, command.config, command.examples);
+            case Command::What::Run:
+                break;
+            case Command::What::Check:
+                return check(command.file);
+            case Command::What::RulesCheck:
+                return rules_check(command.file, command.config, command.budget);
+            case Command::What::RulesExplain:
+                return rules_explain(command.file, command.config, command.lookup);
+            case Command::What::RulesTest:
+                return rules_test(command.file, command.config, command.examples);
         }
     } catch (const std::exception& error) {
         fmt::print("{}\n", error.what());
--- a/src/cli/command.hpp
+++ b/src/cli/command.hpp
@@ -15,7 +15,7 @@
 
 struct Command {
     enum class What { Run, Check, RulesCheck, RulesExplain, RulesTest } what = What::Run;
-    std::string file;  // the operators' file, empty: none; or the rules
+    std::string file;                      // the operators' file, empty: none; or the rules
     std::string config, lookup, examples;  // of the rules' commands
     double budget = 20'000;
 };
@@ -28,7 +28,7 @@
 Parsed parse(int count, const char* const* words);
 
 int carry_out(const Command& command);  // all but Run; the exit code
-int check(const std::string& file);  // prints to standard output; the exit code
+int check(const std::string& file);     // prints to standard output; the exit code
 
 // Throws site::Unusable that names the file and all faults.
 operate::Plan plan_of(const std::string& file);
--- a/src/cli/rules.cpp
+++ b/src/cli/rules.cpp
@@ -70,8 +70,10 @@
         } else if (name == "client") {
             told.client = feed::read_address(value + ":1").host;
         } else if (name == "time") {
-            if (value.size() != 5 || value[2] != ':') throw site::Unusable("time=" + value + ": 08:30 is the form");
-            told.now = (whole(name, value.substr(0, 2), 24) * 3600 + whole(name, value.substr(3), 59) * 60) * 1'000'000;
+            if (value.size() != 5 || value[2] != ':')
+                throw site::Unusable("time=" + value + ": 08:30 is the form");
+            told.now = (whole(name, value.substr(0, 2), 24) * 3600 + whole(name, value.substr(3), 59) * 60) *
+                       1'000'000;
         } else {
             example.named[name] = value;
         }
@@ -125,7 +127,8 @@
     for (int number = 0; number <= last; number++) {
         auto& rule = set->all()[static_cast<std::size_t>(number)];
         if (number == decision.rule) {
-            fmt::print("line {}: rule {} matches: {}\n", rule.place.line, rule.name, told_of(decision, *set, site));
+            fmt::print("line {}: rule {} matches: {}\n", rule.place.line, rule.name,
+                       told_of(decision, *set, site));
             continue;
         }
         auto wrong = set->why_not(static_cast<route::RuleNumber>(number), example.told, runner);
@@ -155,17 +158,22 @@
             if (wanted != found) wrong += fmt::format("  {}: {} is expected, not {}\n", what, wanted, found);
         };
         auto rule = decision.rule < 0 ? "none" : set->all()[static_cast<std::size_t>(decision.rule)].name;
-        if (one.contains("rule")) expect("rule", one["rule"].is_null() ? "none" : one["rule"].get<std::string>(), rule);
+        if (one.contains("rule"))
+            expect("rule", one["rule"].is_null() ? "none" : one["rule"].get<std::string>(), rule);
         if (one.contains("class"))
             expect("class", one["class"],
-                   site.traffic[static_cast<std::size_t>(decision.traffic < 0 ? example.told.traffic : decision.traffic)]);
+                   site.traffic[static_cast<std::size_t>(decision.traffic < 0 ? example.told.traffic
+                                                                              : decision.traffic)]);
         if (one.contains("pool"))
             expect("pool", one["pool"],
                    decision.pool < 0 ? "none" : set->pools()[static_cast<std::size_t>(decision.pool)].name);
-        if (one.contains("limit_ms")) expect("limit_ms", one["limit_ms"].dump(), std::to_string(decision.limit / 1000));
+        if (one.contains("limit_ms"))
+            expect("limit_ms", one["limit_ms"].dump(), std::to_string(decision.limit / 1000));
         if (one.contains("transmissions"))
             expect("transmissions", one["transmissions"].dump(), std::to_string(decision.transmissions));
-        auto key = [&](const route::Decision& of) { return of.key ? fmt::format("{:016x}", *of.key) : "none"; };
+        auto key = [&](const route::Decision& of) {
+            return of.key ? fmt::format("{:016x}", *of.key) : "none";
+        };
         for (bool same : {true, false}) {
             const char* word = same ? "same_key_as" : "other_key_than";
             if (!one.contains(word)) continue;
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -506,13 +506,16 @@
     return least ? least : last;
 }
 
-bool may_copy(const Router& router, const Held& held) { return router.second_copies && !held.facts.no_copies; }
+bool may_copy(const Router& router, const Held& held) {
+    return router.second_copies && !held.facts.no_copies;
+}
 
 // Rule 2: nothing is sent again that may have run, unless the traffic type allows it there and then.
 bool may_send(Router& router, const Held& held, const Server& to, Micros now) {
     auto& type = router.traffic[held.facts.traffic];
     int cap = router.transmissions_cap, own = held.facts.most_transmissions;
-    if (held.done || static_cast<int>(held.rounds.size()) >= (own > 0 ? std::min(own, cap) : cap)) return false;
+    if (held.done || static_cast<int>(held.rounds.size()) >= (own > 0 ? std::min(own, cap) : cap))
+        return false;
     for (auto& round : held.rounds) {
         if (round.out && !may_copy(router, held)) return false;
         if (!round.out && !round.may_have_run) continue;
--- a/src/expression/parse.cpp
+++ b/src/expression/parse.cpp
@@ -99,8 +99,8 @@
 struct text_literal : seq<one<'"'>, text_body, must<text_end>, _> {};
 
 struct digits : plus<digit> {};
-struct unit : sor<pegtl::string<'u', 's'>, pegtl::string<'m', 's'>, pegtl::string<'k', 'b'>, pegtl::string<'m', 'b'>,
-                  pegtl::string<'g', 'b'>, one<'s', 'm', 'h', 'b'>> {};
+struct unit : sor<pegtl::string<'u', 's'>, pegtl::string<'m', 's'>, pegtl::string<'k', 'b'>,
+                  pegtl::string<'m', 'b'>, pegtl::string<'g', 'b'>, one<'s', 'm', 'h', 'b'>> {};
 struct number_body : seq<digits, opt<unit>, not_at<identifier_other>> {};
 struct address_body : seq<digits, one<'.'>, digits, one<'.'>, digits, one<'.'>, digits> {};
 struct network_body : seq<address_body, one<'/'>, digits> {};
@@ -125,8 +125,8 @@
 struct minus_tail : if_must<minus, operand> {};
 struct negative_body : seq<one<'-'>, digits, opt<unit>, not_at<identifier_other>> {};
 struct negative_literal : token<negative_body> {};
-struct operand : sor<text_literal, negative_literal, minus_tail, clock_literal, network_literal, address_literal,
-                     number_literal, kw_true, kw_false, group_tail, named> {};
+struct operand : sor<text_literal, negative_literal, minus_tail, clock_literal, network_literal,
+                     address_literal, number_literal, kw_true, kw_false, group_tail, named> {};
 struct times : token<one<'*'>> {};
 struct over : token<one<'/'>> {};
 struct times_tail : if_must<times, operand> {};
@@ -151,8 +151,8 @@
 struct lt_tail : if_must<lt, sum> {};
 struct gt_tail : if_must<gt, sum> {};
 struct dots : token<pegtl::string<'.', '.'>> {};
-struct set_literal : sor<text_literal, negative_literal, clock_literal, network_literal, address_literal,
-                         number_literal> {};
+struct set_literal
+    : sor<text_literal, negative_literal, clock_literal, network_literal, address_literal, number_literal> {};
 struct range_tail : if_must<dots, set_literal> {};
 struct set_entry : seq<set_literal, opt<range_tail>> {};
 struct set_open : token<one<'{'>> {};
@@ -160,8 +160,7 @@
 struct in_set : if_must<set_open, list_must<set_entry, comma>, set_close> {};
 struct in_network : sor<network_literal, address_literal> {};
 struct in_tail : if_must<kw_in, sor<in_set, in_network>> {};
-struct comparison
-    : seq<sum, opt<sor<eq_tail, ne_tail, le_tail, ge_tail, lt_tail, gt_tail, in_tail>>> {};
+struct comparison : seq<sum, opt<sor<eq_tail, ne_tail, le_tail, ge_tail, lt_tail, gt_tail, in_tail>>> {};
 struct negation;
 struct not_tail : if_must<kw_not, negation> {};
 struct negation : sor<not_tail, comparison> {};
@@ -238,46 +237,94 @@
 
 template <class Rule>
 inline constexpr const char* expected = nullptr;
-template <> inline constexpr const char* expected<statement> = "field, let, def, pool or rule is expected";
-template <> inline constexpr const char* expected<eof> = "the statement should end here; is a ';' or an operator missing?";
-template <> inline constexpr const char* expected<text_end> = "a text that is not ended by '\"' on its line, or holds a NUL byte (write \\x00)";
-template <> inline constexpr const char* expected<hex_pair> = "two hexadecimal digits are expected after \\x";
-template <> inline constexpr const char* expected<sor<one<'"', '\\', 'n', 't', 'r'>, if_must<one<'x'>, hex_pair>>> = "one of \\\" \\\\ \\n \\t \\r \\xHH is expected after a backslash";
-template <> inline constexpr const char* expected<close> = "')' is expected";
-template <> inline constexpr const char* expected<operand> = "a value is expected: a literal, a field, a name, a call or ( )";
-template <> inline constexpr const char* expected<product> = "a value is expected after + or -";
-template <> inline constexpr const char* expected<sum> = "a value is expected after the comparison";
-template <> inline constexpr const char* expected<negation> = "a condition is expected";
-template <> inline constexpr const char* expected<conjunction> = "a condition is expected after or";
-template <> inline constexpr const char* expected<expression> = "an expression is expected";
-template <> inline constexpr const char* expected<whole_value> = "an expression is expected";
-template <> inline constexpr const char* expected<key_value> = "an expression of type text is expected";
-template <> inline constexpr const char* expected<arguments> = "arguments are expected";
-template <> inline constexpr const char* expected<set_literal> = "a literal is expected";
-template <> inline constexpr const char* expected<set_entry> = "a literal or a range a..b is expected";
-template <> inline constexpr const char* expected<list_must<set_entry, comma>> = "a literal or a range a..b is expected";
-template <> inline constexpr const char* expected<set_close> = "'}' or ',' is expected";
-template <> inline constexpr const char* expected<sor<in_set, in_network>> = "a set { } or a network such as 10.1.0.0/16 is expected after in";
-template <> inline constexpr const char* expected<said_name> = "a name is expected";
-template <> inline constexpr const char* expected<assign> = "'=' is expected";
-template <> inline constexpr const char* expected<kw_max> = "'max' and the longest value in bytes are expected";
-template <> inline constexpr const char* expected<field_max> = "a number of bytes is expected";
-template <> inline constexpr const char* expected<def_open> = "'(' is expected";
-template <> inline constexpr const char* expected<def_close> = "')' or ',' is expected";
-template <> inline constexpr const char* expected<parameters> = "parameters such as name: text are expected";
-template <> inline constexpr const char* expected<parameter> = "a parameter such as name: text is expected";
-template <> inline constexpr const char* expected<colon> = "':' and a type are expected";
-template <> inline constexpr const char* expected<token<parameter_type>> = "a type is expected: bool, int, duration, size, text or address";
-template <> inline constexpr const char* expected<token<else_name>> = "the name of a pool is expected";
-template <> inline constexpr const char* expected<rule_colon> = "':' and what the rule decides are expected";
-template <> inline constexpr const char* expected<actions> = "class, key, pool, limit, transmissions or copies is expected";
-template <> inline constexpr const char* expected<action_rule> = "class, key, pool, limit, transmissions or copies is expected";
-template <> inline constexpr const char* expected<class_name> = "the name of a traffic type in quotes is expected";
-template <> inline constexpr const char* expected<token<pool_use>> = "the name of a pool is expected";
-template <> inline constexpr const char* expected<pool_weight_value> = "a whole weight is expected";
-template <> inline constexpr const char* expected<limit_value> = "a duration such as 500ms or 2s is expected";
-template <> inline constexpr const char* expected<transmissions_value> = "a number is expected";
-template <> inline constexpr const char* expected<sor<kw_off, kw_on>> = "on or off is expected";
+template <>
+inline constexpr const char* expected<statement> = "field, let, def, pool or rule is expected";
+template <>
+inline constexpr const char* expected<eof> =
+    "the statement should end here; is a ';' or an operator missing?";
+template <>
+inline constexpr const char* expected<text_end> =
+    "a text that is not ended by '\"' on its line, or holds a NUL byte (write \\x00)";
+template <>
+inline constexpr const char* expected<hex_pair> = "two hexadecimal digits are expected after \\x";
+template <>
+inline constexpr const char* expected<sor<one<'"', '\\', 'n', 't', 'r'>, if_must<one<'x'>, hex_pair>>> =
+    "one of \\\" \\\\ \\n \\t \\r \\xHH is expected after a backslash";
+template <>
+inline constexpr const char* expected<close> = "')' is expected";
+template <>
+inline constexpr const char* expected<operand> =
+    "a value is expected: a literal, a field, a name, a call or ( )";
+template <>
+inline constexpr const char* expected<product> = "a value is expected after + or -";
+template <>
+inline constexpr const char* expected<sum> = "a value is expected after the comparison";
+template <>
+inline constexpr const char* expected<negation> = "a condition is expected";
+template <>
+inline constexpr const char* expected<conjunction> = "a condition is expected after or";
+template <>
+inline constexpr const char* expected<expression> = "an expression is expected";
+template <>
+inline constexpr const char* expected<whole_value> = "an expression is expected";
+template <>
+inline constexpr const char* expected<key_value> = "an expression of type text is expected";
+template <>
+inline constexpr const char* expected<arguments> = "arguments are expected";
+template <>
+inline constexpr const char* expected<set_literal> = "a literal is expected";
+template <>
+inline constexpr const char* expected<set_entry> = "a literal or a range a..b is expected";
+template <>
+inline constexpr const char* expected<list_must<set_entry, comma>> = "a literal or a range a..b is expected";
+template <>
+inline constexpr const char* expected<set_close> = "'}' or ',' is expected";
+template <>
+inline constexpr const char* expected<sor<in_set, in_network>> =
+    "a set { } or a network such as 10.1.0.0/16 is expected after in";
+template <>
+inline constexpr const char* expected<said_name> = "a name is expected";
+template <>
+inline constexpr const char* expected<assign> = "'=' is expected";
+template <>
+inline constexpr const char* expected<kw_max> = "'max' and the longest value in bytes are expected";
+template <>
+inline constexpr const char* expected<field_max> = "a number of bytes is expected";
+template <>
+inline constexpr const char* expected<def_open> = "'(' is expected";
+template <>
+inline constexpr const char* expected<def_close> = "')' or ',' is expected";
+template <>
+inline constexpr const char* expected<parameters> = "parameters such as name: text are expected";
+template <>
+inline constexpr const char* expected<parameter> = "a parameter such as name: text is expected";
+template <>
+inline constexpr const char* expected<colon> = "':' and a type are expected";
+template <>
+inline constexpr const char* expected<token<parameter_type>> =
+    "a type is expected: bool, int, duration, size, text or address";
+template <>
+inline constexpr const char* expected<token<else_name>> = "the name of a pool is expected";
+template <>
+inline constexpr const char* expected<rule_colon> = "':' and what the rule decides are expected";
+template <>
+inline constexpr const char* expected<actions> =
+    "class, key, pool, limit, transmissions or copies is expected";
+template <>
+inline constexpr const char* expected<action_rule> =
+    "class, key, pool, limit, transmissions or copies is expected";
+template <>
+inline constexpr const char* expected<class_name> = "the name of a traffic type in quotes is expected";
+template <>
+inline constexpr const char* expected<token<pool_use>> = "the name of a pool is expected";
+template <>
+inline constexpr const char* expected<pool_weight_value> = "a whole weight is expected";
+template <>
+inline constexpr const char* expected<limit_value> = "a duration such as 500ms or 2s is expected";
+template <>
+inline constexpr const char* expected<transmissions_value> = "a number is expected";
+template <>
+inline constexpr const char* expected<sor<kw_off, kw_on>> = "on or off is expected";
 
 struct Stopped {
     Place place;
@@ -371,7 +418,8 @@
     for (auto& one : units)
         if (one.name == unit) {
             std::int64_t made = 0;
-            if (__builtin_mul_overflow(value, one.times, &made)) throw Stopped{place, "an amount beyond 2^63-1"};
+            if (__builtin_mul_overflow(value, one.times, &made))
+                throw Stopped{place, "an amount beyond 2^63-1"};
             return {one.type, made};
         }
     throw Stopped{place, "an unknown unit"};
@@ -435,13 +483,13 @@
 template <class Rule>
 struct act : nothing<Rule> {};
 
-#define ON(rule)                                      \
-    template <>                                       \
-    struct act<rule> {                                \
-        template <class Input>                        \
+#define ON(rule)                                        \
+    template <>                                         \
+    struct act<rule> {                                  \
+        template <class Input>                          \
         static void apply(const Input& in, Builder& b); \
-    };                                                \
-    template <class Input>                            \
+    };                                                  \
+    template <class Input>                              \
     void act<rule>::apply([[maybe_unused]] const Input& in, Builder& b)
 
 ON(text_body) {
--- a/src/expression/parse.hpp
+++ b/src/expression/parse.hpp
@@ -1,5 +1,5 @@
-// Statements of a rule file, read with PEGTL. A file is cut into statements first, each read by itself, so that
-// one run tells the faults of all, and a long file can be read a slice at a time.
+// Statements of a rule file, read with PEGTL. A file is cut into statements first, each read by itself, so
+// that one run tells the faults of all, and a long file can be read a slice at a time.
 #pragma once
 
 #include <string>
@@ -16,7 +16,8 @@
     Place place;
 };
 
-inline constexpr std::size_t longest_file = 8u << 20, longest_statement = 256u << 10, most_statements = 40'000;
+inline constexpr std::size_t longest_file = 8u << 20, longest_statement = 256u << 10,
+                             most_statements = 40'000;
 
 // Cuts at semicolons outside of strings and comments. `faults` tells what keeps it from that.
 std::vector<Piece> cut(std::string_view file, std::vector<Fault>& faults);
@@ -29,9 +30,9 @@
 struct Action {
     enum class What { Class, Key, Pool, Limit, Transmissions, Copies } what;
     Place place;
-    std::string name;          // of a class or pool
-    Tree value;                // of a key
-    std::int64_t number = 0;   // a limit in microseconds, transmissions, copies on (1) or off (0), a weight
+    std::string name;         // of a class or pool
+    Tree value;               // of a key
+    std::int64_t number = 0;  // a limit in microseconds, transmissions, copies on (1) or off (0), a weight
 };
 struct Statement {
     enum class What { Field, Let, Def, Pool, Rule } what = What::Let;
--- a/src/expression/program.cpp
+++ b/src/expression/program.cpp
@@ -71,8 +71,12 @@
                 constants.push_back(Value::of(node.number));
             }
             break;
-        case Op::Field: step.what = static_cast<std::uint32_t>(node.number); break;
-        case Op::Has: step.what = static_cast<std::uint32_t>(node.kids[0]->number); break;
+        case Op::Field:
+            step.what = static_cast<std::uint32_t>(node.number);
+            break;
+        case Op::Has:
+            step.what = static_cast<std::uint32_t>(node.kids[0]->number);
+            break;
         case Op::In:
             step.what = static_cast<std::uint32_t>(sets.size());
             sets.push_back({node.ranges, node.texts});
@@ -81,8 +85,11 @@
             step.what = static_cast<std::uint32_t>(patterns.size());
             patterns.push_back(std::make_unique<re2::RE2>(node.text, options()));
             break;
-        case Op::Join: step.what = static_cast<std::uint32_t>(node.kids.size()); break;
-        default: break;
+        case Op::Join:
+            step.what = static_cast<std::uint32_t>(node.kids.size());
+            break;
+        default:
+            break;
     }
     steps.push_back(step);
     return next;
@@ -198,8 +205,9 @@
                 auto one = a.view(), other = b.view();
                 units += cost::search(one.size(), other.size());
                 // Linear, whatever the texts; the standard library's search is not.
-                to.number = other.empty() || (one.size() >= other.size() &&
-                                               memmem(one.data(), one.size(), other.data(), other.size()) != nullptr);
+                to.number =
+                    other.empty() || (one.size() >= other.size() &&
+                                      memmem(one.data(), one.size(), other.data(), other.size()) != nullptr);
                 break;
             }
             case Op::Matches: {
@@ -235,7 +243,8 @@
                 auto length = static_cast<std::int64_t>(view.size());
                 auto from = std::clamp<std::int64_t>(b.number, 0, length);
                 auto end = std::clamp<std::int64_t>(r[step.c].number, from, length);
-                to = Value::of(view.substr(static_cast<std::size_t>(from), static_cast<std::size_t>(end - from)));
+                to = Value::of(
+                    view.substr(static_cast<std::size_t>(from), static_cast<std::size_t>(end - from)));
                 units += cost::number;
                 break;
             }
@@ -248,7 +257,8 @@
                 auto *out = room(length), *put = out;
                 for (std::uint32_t k = 1; k < step.what; k++) {
                     auto part = r[step.a + k].view();
-                    if (k > 1 && !between.empty()) put = static_cast<char*>(mempcpy(put, between.data(), between.size()));
+                    if (k > 1 && !between.empty())
+                        put = static_cast<char*>(mempcpy(put, between.data(), between.size()));
                     if (!part.empty()) put = static_cast<char*>(mempcpy(put, part.data(), part.size()));
                 }
                 to = Value::of(std::string_view(out, length));
@@ -275,10 +285,12 @@
                 to.number = static_cast<std::int64_t>(XXH3_64bits(view.data(), view.size()) >> 1);
                 break;
             }
-            default: break;
+            default:
+                break;
         }
     }
-    if (failed) return code.type == Type::Text ? Value::of(std::string_view("", 0)) : Value::of(std::int64_t{0});
+    if (failed)
+        return code.type == Type::Text ? Value::of(std::string_view("", 0)) : Value::of(std::int64_t{0});
     return r[code.result];
 }
 
--- a/src/expression/program.hpp
+++ b/src/expression/program.hpp
@@ -36,8 +36,8 @@
     }
 };
 struct Facts {
-    std::vector<Value> values;   // by the fields' places; an absent text is empty
-    std::uint64_t present = 0;   // a bit a field
+    std::vector<Value> values;  // by the fields' places; an absent text is empty
+    std::uint64_t present = 0;  // a bit a field
 };
 
 struct Code {  // one expression of a program
@@ -58,10 +58,10 @@
     friend class Machine;
     struct Step {
         Op op;
-        Type type;                       // of the operands
+        Type type;  // of the operands
         std::uint16_t to, a, b, c;
-        std::uint32_t what;              // a constant, set, pattern or the place of a field; a jump's goal
-        bool jump = false;               // over the right side of `and`, `or`
+        std::uint32_t what;  // a constant, set, pattern or the place of a field; a jump's goal
+        bool jump = false;   // over the right side of `and`, `or`
     };
     struct Set {
         std::vector<Range> ranges;
@@ -84,8 +84,8 @@
     // The text of a result stands until the next run.
     Value run(const Code& code, const Facts& facts);
     bool condition(const Code& code, const Facts& facts) { return run(code, facts).number != 0; }
-    bool failed = false;       // the last run
-    std::uint64_t units = 0;   // what all runs have cost, counted as they went; to be reset by the caller
+    bool failed = false;      // the last run
+    std::uint64_t units = 0;  // what all runs have cost, counted as they went; to be reset by the caller
 
 private:
     const Program& program;
--- a/src/expression/resolve.cpp
+++ b/src/expression/resolve.cpp
@@ -66,7 +66,8 @@
     // ---- names and functions
     Tree expand(Tree tree, const Given* given, int depth) {
         if (++nodes > most_nodes) {
-            if (!std::exchange(too_many, true)) fault(*tree, "an expression of more than 4096 parts, names put in place");
+            if (!std::exchange(too_many, true))
+                fault(*tree, "an expression of more than 4096 parts, names put in place");
             return nullptr;
         }
         if (depth > deepest) {
@@ -84,8 +85,10 @@
 
     Tree named(Tree tree, const Given* given) {
         if (given)
-            if (auto found = given->find(tree->text); found != given->end()) return counted(*found->second, *tree);
-        if (auto found = names.lets.find(tree->text); found != names.lets.end()) return counted(*found->second, *tree);
+            if (auto found = given->find(tree->text); found != given->end())
+                return counted(*found->second, *tree);
+        if (auto found = names.lets.find(tree->text); found != names.lets.end())
+            return counted(*found->second, *tree);
         for (std::size_t i = 0; i < names.fields.size(); i++)
             if (names.fields[i].name == tree->text) {
                 tree->op = Op::Field;
@@ -108,7 +111,8 @@
     Tree counted(const Node& meaning, const Node& at) {
         nodes += size(meaning);
         if (nodes > most_nodes) {
-            if (!std::exchange(too_many, true)) fault(at, "an expression of more than 4096 parts, names put in place");
+            if (!std::exchange(too_many, true))
+                fault(at, "an expression of more than 4096 parts, names put in place");
             return nullptr;
         }
         return copy(meaning);
@@ -120,8 +124,8 @@
         if (known != std::end(functions_known)) {
             auto count = static_cast<int>(tree->kids.size());
             if (count < known->least || count > known->most) {
-                fault(*tree, std::string(known->shape) + " is the form; it was given " + std::to_string(count) +
-                                 " arguments");
+                fault(*tree, std::string(known->shape) + " is the form; it was given " +
+                                 std::to_string(count) + " arguments");
                 return nullptr;
             }
             tree->op = known->op;
@@ -129,7 +133,9 @@
             if (known->op == Op::Matches) {
                 auto& pattern = *tree->kids[1];
                 if (pattern.op != Op::Const || pattern.type != Type::Text) {
-                    fault(pattern, "the pattern of matches has to be a text as it stands, so that it is compiled once");
+                    fault(
+                        pattern,
+                        "the pattern of matches has to be a text as it stands, so that it is compiled once");
                     return nullptr;
                 }
                 tree->text = pattern.text;
@@ -141,13 +147,14 @@
         if (own == names.functions.end()) {
             std::string all;
             for (auto& one : functions_known) all += (all.empty() ? "" : ", ") + std::string(one.name);
-            fault(*tree, "no function '" + tree->text + "'; a function sees only those defined before it; built in: " + all);
+            fault(*tree, "no function '" + tree->text +
+                             "'; a function sees only those defined before it; built in: " + all);
             return nullptr;
         }
         auto& parameters = own->second.parameters;
         if (parameters.size() != tree->kids.size()) {
-            fault(*tree, "'" + tree->text + "' takes " + std::to_string(parameters.size()) + " arguments, not " +
-                             std::to_string(tree->kids.size()));
+            fault(*tree, "'" + tree->text + "' takes " + std::to_string(parameters.size()) +
+                             " arguments, not " + std::to_string(tree->kids.size()));
             return nullptr;
         }
         Given given;
@@ -166,45 +173,53 @@
     Type type(Node& node) {
         switch (node.op) {
             case Op::Const:
-            case Op::Field: return node.type;
+            case Op::Field:
+                return node.type;
             case Op::Name:
-            case Op::Call: return node.type = Type::Bad;
-            default: break;
+            case Op::Call:
+                return node.type = Type::Bad;
+            default:
+                break;
         }
         std::vector<Type> kids;
         for (auto& kid : node.kids) kids.push_back(type(*kid));
         if (std::count(kids.begin(), kids.end(), Type::Bad)) return node.type = Type::Bad;
         auto want = [&](std::size_t i, Type wanted) {
             if (kids[i] == wanted) return true;
-            fault(*node.kids[i], std::string(name_of(wanted)) + " is expected, not " + name_of(kids[i]) + " (" +
-                                     written(*node.kids[i]).substr(0, 60) + ")");
+            fault(*node.kids[i], std::string(name_of(wanted)) + " is expected, not " + name_of(kids[i]) +
+                                     " (" + written(*node.kids[i]).substr(0, 60) + ")");
             return false;
         };
         bool good = true;
         switch (node.op) {
-            case Op::Not: return node.type = want(0, Type::Bool) ? Type::Bool : Type::Bad;
+            case Op::Not:
+                return node.type = want(0, Type::Bool) ? Type::Bool : Type::Bad;
             case Op::And:
             case Op::Or:
                 good = want(0, Type::Bool);
                 good = want(1, Type::Bool) && good;
                 return node.type = good ? Type::Bool : Type::Bad;
             case Op::Eq:
-            case Op::Ne: return node.type = want(1, kids[0]) ? Type::Bool : Type::Bad;
+            case Op::Ne:
+                return node.type = want(1, kids[0]) ? Type::Bool : Type::Bad;
             case Op::Lt:
             case Op::Le:
             case Op::Gt:
             case Op::Ge:
                 if (!ordered(kids[0])) {
-                    fault(*node.kids[0], std::string("a value that has an order is expected, not ") + name_of(kids[0]));
+                    fault(*node.kids[0],
+                          std::string("a value that has an order is expected, not ") + name_of(kids[0]));
                     return node.type = Type::Bad;
                 }
                 return node.type = want(1, kids[0]) ? Type::Bool : Type::Bad;
-            case Op::In: return node.type = set(node, kids) ? Type::Bool : Type::Bad;
+            case Op::In:
+                return node.type = set(node, kids) ? Type::Bool : Type::Bad;
             case Op::Neg:
             case Op::Add:
             case Op::Sub:
             case Op::Mul:
-            case Op::Div: return node.type = arithmetic(node, kids);
+            case Op::Div:
+                return node.type = arithmetic(node, kids);
             case Op::Starts:
             case Op::Ends:
             case Op::Contains:
@@ -223,7 +238,9 @@
             case Op::Length:
             case Op::Lower:
             case Op::Upper:
-            case Op::Hash: good = want(0, Type::Text); break;
+            case Op::Hash:
+                good = want(0, Type::Text);
+                break;
             case Op::Slice:
                 good = want(0, Type::Text);
                 good = want(1, Type::Int) && good;
@@ -233,8 +250,11 @@
                 for (std::size_t i = 0; i < kids.size(); i++) good = want(i, Type::Text) && good;
                 break;
             case Op::Hex:
-            case Op::Text: good = want(0, Type::Int); break;
-            default: break;
+            case Op::Text:
+                good = want(0, Type::Int);
+                break;
+            default:
+                break;
         }
         return good ? node.type : node.type = Type::Bad;
     }
@@ -254,12 +274,13 @@
         if (node.op == Op::Mul) {
             if (kids[0] == Type::Int) return kids[1];
             return kids[1] == Type::Int ? kids[0]
-                                        : refuse(std::string(name_of(kids[0])) + " times " + name_of(kids[1]) +
-                                                 " means nothing");
+                                        : refuse(std::string(name_of(kids[0])) + " times " +
+                                                 name_of(kids[1]) + " means nothing");
         }
         if (kids[1] == Type::Int) return kids[0];
-        return kids[0] == kids[1] ? Type::Int
-                                  : refuse(std::string(name_of(kids[0])) + " by " + name_of(kids[1]) + " means nothing");
+        return kids[0] == kids[1]
+                   ? Type::Int
+                   : refuse(std::string(name_of(kids[0])) + " by " + name_of(kids[1]) + " means nothing");
     }
 
     // The entries leave the tree for sorted lists.
@@ -279,7 +300,8 @@
             } else if (of == Type::Text) {
                 node.texts.push_back(entry.text);
             } else {
-                node.ranges.push_back(entry.ranges.empty() ? Range{entry.number, entry.number} : entry.ranges[0]);
+                node.ranges.push_back(entry.ranges.empty() ? Range{entry.number, entry.number}
+                                                           : entry.ranges[0]);
             }
         }
         if (!good) return false;
@@ -310,8 +332,9 @@
         // A pattern's cost grows with its program, which nested repetition multiplies.
         node.number = std::max(compiled.ProgramSize(), 1);
         if (node.number > largest_pattern) {
-            fault(node, "the pattern becomes a program of " + std::to_string(node.number) + " instructions, more than " +
-                            std::to_string(largest_pattern) + "; is a repetition repeated?");
+            fault(node, "the pattern becomes a program of " + std::to_string(node.number) +
+                            " instructions, more than " + std::to_string(largest_pattern) +
+                            "; is a repetition repeated?");
             return false;
         }
         return true;
@@ -328,7 +351,8 @@
             for (int side : {0, 1})
                 if (constant(node.kids[static_cast<std::size_t>(side)])) {
                     bool value = node.kids[static_cast<std::size_t>(side)]->number != 0;
-                    auto kept = std::move(node.kids[static_cast<std::size_t>(value == neutral ? 1 - side : side)]);
+                    auto kept =
+                        std::move(node.kids[static_cast<std::size_t>(value == neutral ? 1 - side : side)]);
                     tree = std::move(kept);
                     return;
                 }
@@ -357,13 +381,20 @@
         std::int64_t made = 0;
         bool over = false;
         switch (node.op) {
-            case Op::Not: return become(node, !a);
-            case Op::Eq: return become(node, order == 0);
-            case Op::Ne: return become(node, order != 0);
-            case Op::Lt: return become(node, order < 0);
-            case Op::Le: return become(node, order <= 0);
-            case Op::Gt: return become(node, order > 0);
-            case Op::Ge: return become(node, order >= 0);
+            case Op::Not:
+                return become(node, !a);
+            case Op::Eq:
+                return become(node, order == 0);
+            case Op::Ne:
+                return become(node, order != 0);
+            case Op::Lt:
+                return become(node, order < 0);
+            case Op::Le:
+                return become(node, order <= 0);
+            case Op::Gt:
+                return become(node, order > 0);
+            case Op::Ge:
+                return become(node, order >= 0);
             case Op::In: {
                 bool in = std::binary_search(node.texts.begin(), node.texts.end(), left);
                 if (!texts)
@@ -371,26 +402,39 @@
                                      [&](auto& range) { return a >= range.from && a <= range.to; });
                 return become(node, in);
             }
-            case Op::Neg: over = __builtin_sub_overflow(std::int64_t{0}, a, &made); break;
-            case Op::Add: over = __builtin_add_overflow(a, b, &made); break;
-            case Op::Sub: over = __builtin_sub_overflow(a, b, &made); break;
-            case Op::Mul: over = __builtin_mul_overflow(a, b, &made); break;
+            case Op::Neg:
+                over = __builtin_sub_overflow(std::int64_t{0}, a, &made);
+                break;
+            case Op::Add:
+                over = __builtin_add_overflow(a, b, &made);
+                break;
+            case Op::Sub:
+                over = __builtin_sub_overflow(a, b, &made);
+                break;
+            case Op::Mul:
+                over = __builtin_mul_overflow(a, b, &made);
+                break;
             case Op::Div:
                 if (b == 0) return fault(node, "division by zero");
                 over = a == INT64_MIN && b == -1;
                 made = over ? 0 : a / b;
                 break;
-            case Op::Starts: return become(node, left.starts_with(right));
-            case Op::Ends: return become(node, left.ends_with(right));
-            case Op::Contains: return become(node, left.find(right) != left.npos);
-            case Op::Length: return become(node, static_cast<std::int64_t>(left.size()));
+            case Op::Starts:
+                return become(node, left.starts_with(right));
+            case Op::Ends:
+                return become(node, left.ends_with(right));
+            case Op::Contains:
+                return become(node, left.find(right) != left.npos);
+            case Op::Length:
+                return become(node, static_cast<std::int64_t>(left.size()));
             case Op::Lower:
             case Op::Upper: {
                 auto text = left;
                 for (auto& c : text) c = node.op == Op::Lower ? lowered(c) : uppered(c);
                 return become(node, 0, text);
             }
-            default: return;  // the others are left to the program
+            default:
+                return;  // the others are left to the program
         }
         if (over) return fault(node, "an amount beyond 2^63-1");
         become(node, made);
@@ -418,7 +462,9 @@
                 made = names.fields[static_cast<std::size_t>(node.number)].longest;
                 break;
             case Op::And:
-            case Op::Or: own = cost::jump; break;
+            case Op::Or:
+                own = cost::jump;
+                break;
             case Op::Eq:
             case Op::Ne:
             case Op::Lt:
@@ -427,13 +473,20 @@
             case Op::Ge:
                 if (texts) own = cost::compare_text(std::min(first, second));
                 break;
-            case Op::In: own = cost::in_set(node.texts.size() + node.ranges.size());
+            case Op::In:
+                own = cost::in_set(node.texts.size() + node.ranges.size());
                 if (texts) own *= cost::compare_text(first);
                 break;
             case Op::Starts:
-            case Op::Ends: own = cost::compare_text(std::min(first, second)); break;
-            case Op::Contains: own = cost::search(first, second); break;
-            case Op::Matches: own = cost::match(first, static_cast<std::uint64_t>(node.number)); break;
+            case Op::Ends:
+                own = cost::compare_text(std::min(first, second));
+                break;
+            case Op::Contains:
+                own = cost::search(first, second);
+                break;
+            case Op::Matches:
+                own = cost::match(first, static_cast<std::uint64_t>(node.number));
+                break;
             case Op::Lower:
             case Op::Upper:
                 own = cost::write(first);
@@ -442,8 +495,10 @@
             case Op::Slice: {
                 made = first;
                 auto &from = *node.kids[1], &to = *node.kids[2];
-                if (from.op == Op::Const && to.op == Op::Const && from.number >= 0 && to.number >= from.number)
-                    made = std::min<std::uint64_t>(first, static_cast<std::uint64_t>(to.number - from.number));
+                if (from.op == Op::Const && to.op == Op::Const && from.number >= 0 &&
+                    to.number >= from.number)
+                    made =
+                        std::min<std::uint64_t>(first, static_cast<std::uint64_t>(to.number - from.number));
                 else if (to.op == Op::Const && to.number >= 0)
                     made = std::min<std::uint64_t>(first, static_cast<std::uint64_t>(to.number));
                 break;
@@ -460,12 +515,17 @@
                 own = cost::text;
                 made = 20;
                 break;
-            case Op::Hash: own = cost::hash(first); break;
-            default: break;
+            case Op::Hash:
+                own = cost::hash(first);
+                break;
+            default:
+                break;
         }
         if (made > longest_text) {
-            fault(node, "a text of up to " + std::to_string(made) + " bytes, more than 65536, which has no bound worth "
-                        "the name: " + written(node).substr(0, 80));
+            fault(node, "a text of up to " + std::to_string(made) +
+                            " bytes, more than 65536, which has no bound worth "
+                            "the name: " +
+                            written(node).substr(0, 80));
             made = longest_text;
         }
         node.longest = static_cast<std::uint32_t>(made);
@@ -504,8 +564,8 @@
     return true;
 }
 
-// The body is tried with arguments of the stated types that fold away nothing, so that its faults show where it
-// is defined and not only where it is used.
+// The body is tried with arguments of the stated types that fold away nothing, so that its faults show where
+// it is defined and not only where it is used.
 bool Names::add_def(Statement statement, std::vector<Fault>& faults) {
     if (taken(statement.name)) {
         faults.push_back({statement.place, "the name '" + statement.name + "' is taken"});
--- a/src/expression/tree.cpp
+++ b/src/expression/tree.cpp
@@ -7,13 +7,20 @@
 
 const char* name_of(Type type) {
     switch (type) {
-        case Type::Bad: break;
-        case Type::Bool: return "bool";
-        case Type::Int: return "int";
-        case Type::Duration: return "duration";
-        case Type::Size: return "size";
-        case Type::Text: return "text";
-        case Type::Address: return "address";
+        case Type::Bad:
+            break;
+        case Type::Bool:
+            return "bool";
+        case Type::Int:
+            return "int";
+        case Type::Duration:
+            return "duration";
+        case Type::Size:
+            return "size";
+        case Type::Text:
+            return "text";
+        case Type::Address:
+            return "address";
     }
     return "nothing";
 }
@@ -34,8 +41,8 @@
 }
 
 bool same(const Node& a, const Node& b) {
-    return a.op == b.op && a.type == b.type && a.number == b.number && a.text == b.text && a.ranges == b.ranges &&
-           a.texts == b.texts &&
+    return a.op == b.op && a.type == b.type && a.number == b.number && a.text == b.text &&
+           a.ranges == b.ranges && a.texts == b.texts &&
            std::equal(a.kids.begin(), a.kids.end(), b.kids.begin(), b.kids.end(),
                       [](auto& one, auto& other) { return same(*one, *other); });
 }
@@ -61,53 +68,86 @@
 
 std::string literal(Type type, std::int64_t number, const std::string& text) {
     switch (type) {
-        case Type::Bool: return number ? "true" : "false";
-        case Type::Text: return quoted(text);
-        case Type::Duration: return std::to_string(number) + "us";
-        case Type::Size: return std::to_string(number) + "b";
+        case Type::Bool:
+            return number ? "true" : "false";
+        case Type::Text:
+            return quoted(text);
+        case Type::Duration:
+            return std::to_string(number) + "us";
+        case Type::Size:
+            return std::to_string(number) + "b";
         case Type::Address: {
             std::string out;
-            for (int shift : {24, 16, 8, 0}) out += std::to_string(number >> shift & 255) + (shift ? "." : "");
+            for (int shift : {24, 16, 8, 0})
+                out += std::to_string(number >> shift & 255) + (shift ? "." : "");
             return out;
         }
-        default: return std::to_string(number);
+        default:
+            return std::to_string(number);
     }
 }
 
 const char* sign(Op op) {
     switch (op) {
-        case Op::And: return " and ";
-        case Op::Or: return " or ";
-        case Op::Eq: return " == ";
-        case Op::Ne: return " != ";
-        case Op::Lt: return " < ";
-        case Op::Le: return " <= ";
-        case Op::Gt: return " > ";
-        case Op::Ge: return " >= ";
-        case Op::Add: return " + ";
-        case Op::Sub: return " - ";
-        case Op::Mul: return " * ";
-        case Op::Div: return " / ";
-        default: return nullptr;
+        case Op::And:
+            return " and ";
+        case Op::Or:
+            return " or ";
+        case Op::Eq:
+            return " == ";
+        case Op::Ne:
+            return " != ";
+        case Op::Lt:
+            return " < ";
+        case Op::Le:
+            return " <= ";
+        case Op::Gt:
+            return " > ";
+        case Op::Ge:
+            return " >= ";
+        case Op::Add:
+            return " + ";
+        case Op::Sub:
+            return " - ";
+        case Op::Mul:
+            return " * ";
+        case Op::Div:
+            return " / ";
+        default:
+            return nullptr;
     }
 }
 
 const char* function(Op op) {
     switch (op) {
-        case Op::Starts: return "starts_with";
-        case Op::Ends: return "ends_with";
-        case Op::Contains: return "contains";
-        case Op::Matches: return "matches";
-        case Op::Has: return "has";
-        case Op::Length: return "length";
-        case Op::Lower: return "lower";
-        case Op::Upper: return "upper";
-        case Op::Slice: return "slice";
-        case Op::Join: return "join";
-        case Op::Hex: return "hex";
-        case Op::Text: return "text";
-        case Op::Hash: return "hash";
-        default: return "";
+        case Op::Starts:
+            return "starts_with";
+        case Op::Ends:
+            return "ends_with";
+        case Op::Contains:
+            return "contains";
+        case Op::Matches:
+            return "matches";
+        case Op::Has:
+            return "has";
+        case Op::Length:
+            return "length";
+        case Op::Lower:
+            return "lower";
+        case Op::Upper:
+            return "upper";
+        case Op::Slice:
+            return "slice";
+        case Op::Join:
+            return "join";
+        case Op::Hex:
+            return "hex";
+        case Op::Text:
+            return "text";
+        case Op::Hash:
+            return "hash";
+        default:
+            return "";
     }
 }
 
@@ -117,11 +157,15 @@
     if (auto* between = sign(node.op))
         return "(" + written(*node.kids[0]) + between + written(*node.kids[1]) + ")";
     switch (node.op) {
-        case Op::Const: return literal(node.type, node.number, node.text);
+        case Op::Const:
+            return literal(node.type, node.number, node.text);
         case Op::Name:
-        case Op::Field: return node.text;
-        case Op::Not: return "not " + written(*node.kids[0]);
-        case Op::Neg: return "-" + written(*node.kids[0]);
+        case Op::Field:
+            return node.text;
+        case Op::Not:
+            return "not " + written(*node.kids[0]);
+        case Op::Neg:
+            return "-" + written(*node.kids[0]);
         case Op::In: {
             std::string out;
             auto type = node.kids[0]->type;
@@ -132,7 +176,8 @@
             }
             return written(*node.kids[0]) + " in {" + out + "}";
         }
-        default: break;
+        default:
+            break;
     }
     std::string out = (node.op == Op::Call ? node.text : function(node.op)) + "(";
     for (auto& kid : node.kids) out += (&kid == &node.kids[0] ? "" : ", ") + written(*kid);
--- a/src/expression/tree.hpp
+++ b/src/expression/tree.hpp
@@ -1,6 +1,6 @@
-// Expressions over a lookup or a box, as a typed tree. Values only: parse() makes it, resolve() types it, puts
-// names and functions in their places, folds constants and works out what it can cost at most.
-// The language: docs/expressions.md.
+// Expressions over a lookup or a box, as a typed tree. Values only: parse() makes it, resolve() types it,
+// puts names and functions in their places, folds constants and works out what it can cost at most. The
+// language: docs/expressions.md.
 #pragma once
 
 #include <cstdint>
@@ -17,13 +17,38 @@
 const char* name_of(Type type);
 
 enum class Op {
-    Name, Call,  // only before resolve()
-    Const, Field,
-    Not, And, Or,
-    Eq, Ne, Lt, Le, Gt, Ge, In,
-    Neg, Add, Sub, Mul, Div,
-    Starts, Ends, Contains, Matches, Has, Length,
-    Lower, Upper, Slice, Join, Hex, Text, Hash
+    Name,
+    Call,  // only before resolve()
+    Const,
+    Field,
+    Not,
+    And,
+    Or,
+    Eq,
+    Ne,
+    Lt,
+    Le,
+    Gt,
+    Ge,
+    In,
+    Neg,
+    Add,
+    Sub,
+    Mul,
+    Div,
+    Starts,
+    Ends,
+    Contains,
+    Matches,
+    Has,
+    Length,
+    Lower,
+    Upper,
+    Slice,
+    Join,
+    Hex,
+    Text,
+    Hash
 };
 
 // Where something stands in its file, both from 1.
@@ -49,18 +74,18 @@
     Type type = Type::Bad;
     Place place;
     std::vector<Tree> kids;
-    std::int64_t number = 0;          // Const; the place of a Field
-    std::string text;                 // Const of type Text; a Name or Call; the pattern of Matches
-    std::vector<Range> ranges;        // In, of numbers and addresses, sorted and apart
-    std::vector<std::string> texts;   // In, of texts, sorted
+    std::int64_t number = 0;         // Const; the place of a Field
+    std::string text;                // Const of type Text; a Name or Call; the pattern of Matches
+    std::vector<Range> ranges;       // In, of numbers and addresses, sorted and apart
+    std::vector<std::string> texts;  // In, of texts, sorted
     // Worked out by resolve():
-    std::uint32_t longest = 0;        // bytes of a Text at most
-    std::uint64_t cost = 0;           // units at most, kids included
+    std::uint32_t longest = 0;  // bytes of a Text at most
+    std::uint64_t cost = 0;     // units at most, kids included
 };
 
 Tree copy(const Node& node);
-bool same(const Node& a, const Node& b);     // in all but places
-std::string written(const Node& node);       // as it could stand in a file
+bool same(const Node& a, const Node& b);  // in all but places
+std::string written(const Node& node);    // as it could stand in a file
 
 // What an expression may name.
 struct FieldFacts {
@@ -79,7 +104,9 @@
     for (; entries > 1; entries /= 2) steps++;
     return 1 + steps;
 }
-constexpr std::uint64_t search(std::uint64_t length, std::uint64_t wanted) { return 2 + (length + wanted) / 4; }
+constexpr std::uint64_t search(std::uint64_t length, std::uint64_t wanted) {
+    return 2 + (length + wanted) / 4;
+}
 constexpr std::uint64_t write(std::uint64_t length) { return 1 + length / 4; }
 constexpr std::uint64_t hash(std::uint64_t length) { return 2 + length / 8; }
 constexpr std::uint64_t match(std::uint64_t length, std::uint64_t program) {
--- a/src/http/request.hpp
+++ b/src/http/request.hpp
@@ -17,8 +17,8 @@
     std::string text(Micros budget) const;
 };
 
-// Where a rule has made a key, the path still names the object as the client did, and X-Key the key under which
-// a copy is kept and looked for.
+// Where a rule has made a key, the path still names the object as the client did, and X-Key the key under
+// which a copy is kept and looked for.
 Request transmission(const LookupFacts& lookup, const Transmission& order, std::string_view traffic,
                      std::string_view have, std::string_view body);
 Request probe();
--- a/src/launch/launch.hpp
+++ b/src/launch/launch.hpp
@@ -28,7 +28,7 @@
     SiteFacts facts{};
     site::Terms terms;
     feed::Known known;
-    route::Site rule_site() const;  // what rules have to know
+    route::Site rule_site() const;              // what rules have to know
     std::map<std::string, std::string> stated;  // each member of the file as it stands there
 };
 
--- a/src/node/client.hpp
+++ b/src/node/client.hpp
@@ -18,7 +18,7 @@
         const site::Terms& terms;
         Clock& clock;
         Gathered& gathered;
-        bool ready = false;  // what a ping is told
+        bool ready = false;                                   // what a ping is told
         const std::vector<thrift::Wanted>* wanted = nullptr;  // named fields that rules ask for
     };
     Client(Shared& shared, int fd, ClientId id, std::uint32_t address);
--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -45,7 +45,8 @@
         shared.base,
         [](evconnlistener*, evutil_socket_t fd, sockaddr* from, int, void* self) {
             auto* inet = reinterpret_cast<sockaddr_in*>(from);
-            static_cast<Front*>(self)->accepted(fd, inet->sin_family == AF_INET ? ntohl(inet->sin_addr.s_addr) : 0);
+            static_cast<Front*>(self)->accepted(
+                fd, inet->sin_family == AF_INET ? ntohl(inet->sin_addr.s_addr) : 0);
         },
         this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, waiting_connections,
         reinterpret_cast<sockaddr*>(&address), sizeof address));
--- a/src/node/gathered.hpp
+++ b/src/node/gathered.hpp
@@ -8,8 +8,8 @@
 #include "control.hpp"
 #include "feed/event.hpp"
 #include "http/reply.hpp"
-#include "thrift/message.hpp"
 #include "route/rules.hpp"
+#include "thrift/message.hpp"
 #include "version/bundle.hpp"
 
 namespace quillgrade::node {
@@ -52,8 +52,7 @@
 };
 struct TendDue {};
 
-using Gathered =
-    std::vector<std::variant<Arrived, Left, Landed, Probed, feed::Event, LookDue, TendDue, version::Amounts,
-                             std::shared_ptr<const route::RuleSet>>>;
+using Gathered = std::vector<std::variant<Arrived, Left, Landed, Probed, feed::Event, LookDue, TendDue,
+                                          version::Amounts, std::shared_ptr<const route::RuleSet>>>;
 
 }  // namespace quillgrade::node
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -55,7 +55,8 @@
         if (!loader.result()) throw site::Unusable(plan.rules->file + ":\n" + loader.report());
         for (auto& warning : loader.warnings()) log::warning("rules: {}", warning.what);
         file_rules = loader.result();
-        log::info("rules: {} in force, at most {} units a lookup", file_rules->all().size(), file_rules->bound());
+        log::info("rules: {} in force, at most {} units a lookup", file_rules->all().size(),
+                  file_rules->bound());
         gathered.emplace_back(file_rules);
     }
     if (plan.control) steering = std::make_unique<Steering>(base.get(), plan, launch, clock, terms);
--- a/src/node/steering.cpp
+++ b/src/node/steering.cpp
@@ -36,8 +36,7 @@
              {launch.name, control.cluster, launch.terms.zones[static_cast<std::size_t>(launch.facts.zone)]},
              longest_version(control, launch.room)},
       book(launch.facts, launch.terms.zones, control.membership),
-      ledger(allowed(plan, launch), control.kinds,
-             {control.trial, control.trial_for, control.trial_rise}),
+      ledger(allowed(plan, launch), control.kinds, {control.trial, control.trial_for, control.trial_rise}),
       store(plan.store),
       wake(base, [] {}) {
     if (store) {
--- a/src/operate/plan.cpp
+++ b/src/operate/plan.cpp
@@ -124,7 +124,8 @@
         else if (one == "rules")
             control.kinds.push_back(discovery::Kind::Rules);
         else
-            members.fault("kinds", "\"boxes\", \"amounts\" or \"rules\" is expected, not " + one.dump().substr(0, 60));
+            members.fault("kinds",
+                          "\"boxes\", \"amounts\" or \"rules\" is expected, not " + one.dump().substr(0, 60));
     }
     auto repeated = control.kinds;
     std::sort(repeated.begin(), repeated.end());
--- a/src/operate/plan.hpp
+++ b/src/operate/plan.hpp
@@ -40,7 +40,7 @@
 };
 
 struct RuleFile {
-    std::string file;  // in force while no version of Rules is; empty: none
+    std::string file;               // in force while no version of Rules is; empty: none
     std::uint64_t budget = 20'000;  // units a lookup may cost, also for versions
     bool operator==(const RuleFile&) const = default;
 };
--- a/src/rig/world.cpp
+++ b/src/rig/world.cpp
@@ -97,6 +97,7 @@
         Micros delay, forbidden = 0;
         std::size_t bytes;
         std::uint64_t sends = 0;
+        std::vector<std::string> heads;
         Owned<evconnlistener> listener;
     };
     // A connection at a box; it answers one request at a time.
@@ -141,6 +142,8 @@
     double per_s = 0, owed = 0;
     int router_port = 0, wanted = 0;
     Micros wait = 0, last_tick = 0, last_beat = 0;
+    std::string field;
+    std::vector<std::string> values;
     Totals totals;
     std::vector<Micros> times;
     Owned<event> timer;
@@ -211,9 +214,11 @@
         auto* input = bufferevent_get_input(one.buffer.get());
         auto end = evbuffer_search(input, "\r\n\r\n", 4, nullptr);
         if (end.pos < 0) return;
-        evbuffer_drain(input, static_cast<std::size_t>(end.pos) + 4);
+        std::string head(static_cast<std::size_t>(end.pos) + 4, '\0');
+        evbuffer_remove(input, head.data(), head.size());
         {
             std::lock_guard hold(lock);
+            if (one.box->heads.size() < 1000) one.box->heads.push_back(std::move(head));
             totals.sends++;
             one.box->sends++;
             if (one.box->forbidden > 0 && unix_now() > one.box->forbidden) totals.late_sends++;
@@ -336,13 +341,15 @@
         lookups[id] = {now, now + wait, 0};
         client.open[seq] = id;
         client.unanswered++;
-        auto frame = call(seq, {{"c", "page"},
-                                {"i", hex(id * 0x9e3779b97f4a7c15u)},
-                                {"d", std::to_string(wait / 1000)},
-                                {"o", hex(1 + id % 997 * 7919)},
-                                {"part", "0"},
-                                {"group", "1"},
-                                {"m", "1"}});
+        std::map<std::string, std::string> fields = {{"c", "page"},
+                                                     {"i", hex(id * 0x9e3779b97f4a7c15u)},
+                                                     {"d", std::to_string(wait / 1000)},
+                                                     {"o", hex(1 + id % 997 * 7919)},
+                                                     {"part", "0"},
+                                                     {"group", "1"},
+                                                     {"m", "1"}};
+        if (!values.empty()) fields[field] = values[id % values.size()];
+        auto frame = call(seq, fields);
         bufferevent_write(client.buffer.get(), frame.data(), frame.size());
         totals.asked++;
     }
@@ -482,6 +489,18 @@
     });
 }
 
+std::vector<std::string> World::take_heads(int box) {
+    std::lock_guard hold(inner->lock);
+    return std::exchange(inner->boxes.at(static_cast<std::size_t>(box))->heads, {});
+}
+
+void World::say(const std::string& field, const std::vector<std::string>& values) {
+    inner->run([&] {
+        inner->field = field;
+        inner->values = values;
+    });
+}
+
 void World::finish() {
     inner->run([&] { inner->per_s = 0; });
     while (!inner->run([&] { return inner->lookups.empty(); }))
--- a/src/rig/world.hpp
+++ b/src/rig/world.hpp
@@ -35,6 +35,7 @@
     // From `at` on nothing may be sent to it: later requests are counted. 0: allowed again.
     void forbid(int box, Micros at);
     std::uint64_t sends_to(int box) const;
+    std::vector<std::string> take_heads(int box);  // the last thousand requests since it was called last
 
     // The coordinator: events are JSON-free frames, as its protocol has them.
     int coordinator_port() const;
@@ -43,6 +44,8 @@
     // Clients that ask the router `per_s` lookups a second over `connections` connections, from now on.
     // `wait`: a client's patience. 0 per second: none any more.
     void ask(int router_port, double per_s, int connections = 8, Micros wait = 2'000'000);
+    // A field that clients tell, its values in turn; none: it is not told.
+    void say(const std::string& field, const std::vector<std::string>& values);
     // No new lookups; returns once the time of all that are out is up.
     void finish();
     Totals totals() const;
--- a/src/route/dispatch.cpp
+++ b/src/route/dispatch.cpp
@@ -35,7 +35,12 @@
     bool left = constant(node.kids[0]), right = constant(node.kids[1]);
     if (left == right) return {};
     auto op = node.op;
-    if (left) op = op == Op::Lt ? Op::Gt : op == Op::Le ? Op::Ge : op == Op::Gt ? Op::Lt : op == Op::Ge ? Op::Le : op;
+    if (left)
+        op = op == Op::Lt   ? Op::Gt
+             : op == Op::Le ? Op::Ge
+             : op == Op::Gt ? Op::Lt
+             : op == Op::Ge ? Op::Le
+                            : op;
     return Compared{op, node.kids[left ? 1 : 0].get(), node.kids[left ? 0 : 1]->number};
 }
 
@@ -68,18 +73,24 @@
 std::optional<Index::How> Index::how(const Node& node) {
     switch (node.op) {
         case Op::Eq:
-            if (constant(node.kids[0]) == constant(node.kids[1]) || node.kids[0]->type == Type::Bool) return {};
+            if (constant(node.kids[0]) == constant(node.kids[1]) || node.kids[0]->type == Type::Bool)
+                return {};
             return How::Equal;
         case Op::In:
-            if (!node.texts.empty()) return node.texts.size() <= most_set_texts ? std::optional(How::Equal) : std::nullopt;
+            if (!node.texts.empty())
+                return node.texts.size() <= most_set_texts ? std::optional(How::Equal) : std::nullopt;
             return How::Within;
-        case Op::Starts: return constant(node.kids[1]) ? std::optional(How::Prefix) : std::nullopt;
-        case Op::Matches: return How::Pattern;
+        case Op::Starts:
+            return constant(node.kids[1]) ? std::optional(How::Prefix) : std::nullopt;
+        case Op::Matches:
+            return How::Pattern;
         case Op::Lt:
         case Op::Le:
         case Op::Gt:
-        case Op::Ge: return compared(node) ? std::optional(How::Within) : std::nullopt;
-        default: return {};
+        case Op::Ge:
+            return compared(node) ? std::optional(How::Within) : std::nullopt;
+        default:
+            return {};
     }
 }
 
@@ -122,7 +133,8 @@
             std::uint32_t at = 0;
             for (unsigned char c : conjunct.kids[1]->text) {
                 auto& kids = trie[at].kids;
-                auto kid = std::lower_bound(kids.begin(), kids.end(), std::pair<unsigned char, std::uint32_t>{c, 0});
+                auto kid =
+                    std::lower_bound(kids.begin(), kids.end(), std::pair<unsigned char, std::uint32_t>{c, 0});
                 if (kid == kids.end() || kid->first != c) {
                     auto made = static_cast<std::uint32_t>(trie.size());
                     kids.insert(kid, {c, made});
@@ -139,7 +151,8 @@
         }
         case How::Within:
             if (conjunct.op == Op::In) {
-                for (auto& range : conjunct.ranges) spans.push_back({range.from, range.to, rule, exact, condition});
+                for (auto& range : conjunct.ranges)
+                    spans.push_back({range.from, range.to, rule, exact, condition});
             } else {
                 auto told = *compared(conjunct);
                 auto from = INT64_MIN, to = INT64_MAX;
@@ -152,7 +165,9 @@
                 if (!none) spans.push_back({from, to, rule, exact, condition});
             }
             break;
-        case How::Pattern: patterns.push_back({conjunct.text, rule, exact, condition}); break;
+        case How::Pattern:
+            patterns.push_back({conjunct.text, rule, exact, condition});
+            break;
     }
 }
 
@@ -187,7 +202,9 @@
             }
             break;
         }
-        case How::Within: build_spans(); break;
+        case How::Within:
+            build_spans();
+            break;
         case How::Pattern:
             if (!build_patterns()) return false;
             break;
@@ -212,7 +229,9 @@
     tree.assign(2 * leaves, {});
     std::vector<std::uint64_t> costs(2 * leaves, 0);
     auto place = [&](std::int64_t value) {
-        return static_cast<std::size_t>(std::lower_bound(points.begin(), points.end(), value) - points.begin()) + 1;
+        return static_cast<std::size_t>(std::lower_bound(points.begin(), points.end(), value) -
+                                        points.begin()) +
+               1;
     };
     for (auto& span : spans) {
         auto from = place(span.from) + leaves;
@@ -279,10 +298,12 @@
         return false;
     }
     bool all_exact = std::all_of(patterns.begin(), patterns.end(), [](auto& one) { return one.exact; });
-    bool all_sets = std::all_of(pattern_nodes.begin(), pattern_nodes.end(), [](auto& node) { return node.any || node.one; });
+    bool all_sets = std::all_of(pattern_nodes.begin(), pattern_nodes.end(),
+                                [](auto& node) { return node.any || node.one; });
     std::uint64_t nodes = pattern_nodes.size(), conditions = 0, largest = 1;
     for (auto& node : pattern_nodes)
-        if (node.one) largest = std::max<std::uint64_t>(largest, static_cast<std::uint64_t>(node.one->ProgramSize()));
+        if (node.one)
+            largest = std::max<std::uint64_t>(largest, static_cast<std::uint64_t>(node.one->ProgramSize()));
     if (all_exact && all_sets)  // the first match below a node that matches ends it
         nodes = (top_to - top_from) + fan * static_cast<std::uint64_t>(levels);
     for (auto& pattern : patterns) conditions += cost::number + (pattern.exact ? 0 : pattern.cost);
@@ -323,7 +344,8 @@
             add(index.trie[0].rules);
             for (unsigned char c : value.view()) {
                 auto& kids = index.trie[at].kids;
-                auto kid = std::lower_bound(kids.begin(), kids.end(), std::pair<unsigned char, std::uint32_t>{c, 0});
+                auto kid =
+                    std::lower_bound(kids.begin(), kids.end(), std::pair<unsigned char, std::uint32_t>{c, 0});
                 if (kid == kids.end() || kid->first != c) break;
                 at = kid->second;
                 units += cost::number;
@@ -333,7 +355,8 @@
         }
         case Index::How::Within: {
             units += cost::in_set(index.points.size());
-            auto stretch = std::upper_bound(index.points.begin(), index.points.end(), value.number) - index.points.begin();
+            auto stretch = std::upper_bound(index.points.begin(), index.points.end(), value.number) -
+                           index.points.begin();
             for (auto node = static_cast<std::size_t>(stretch) + index.tree.size() / 2; node > 0; node /= 2) {
                 units += cost::number;
                 add(index.tree[node]);
--- a/src/route/dispatch.hpp
+++ b/src/route/dispatch.hpp
@@ -1,6 +1,7 @@
-// Which rules of a set may match, in their order, found by one condition of each: literals by hash, prefixes in
-// a trie, ranges in a segment tree, regular expressions in a tree of RE2::Set. What it finds may not match as a
-// whole; what it leaves out does not. No rule is left out for lack of such a condition: it is always a candidate.
+// Which rules of a set may match, in their order, found by one condition of each: literals by hash, prefixes
+// in a trie, ranges in a segment tree, regular expressions in a tree of RE2::Set. What it finds may not match
+// as a whole; what it leaves out does not. No rule is left out for lack of such a condition: it is always a
+// candidate.
 #pragma once
 
 #include <re2/set.h>
@@ -87,7 +88,8 @@
     };
     std::unordered_map<std::string, Rules, Hash, std::equal_to<>> texts;
     std::unordered_map<std::int64_t, Rules> numbers;
-    std::unordered_map<std::string, std::vector<Entry>> text_entries;  // for the bound, dropped when it is built
+    std::unordered_map<std::string, std::vector<Entry>>
+        text_entries;  // for the bound, dropped when it is built
     std::unordered_map<std::int64_t, std::vector<Entry>> number_entries;
     std::vector<TrieNode> trie;
     std::vector<std::vector<Entry>> trie_entries;
--- a/src/route/live.cpp
+++ b/src/route/live.cpp
@@ -28,8 +28,10 @@
     std::vector<feed::Endpoint> all;
     all.reserve(boxes.size());
     for (auto& [id, box] : boxes) all.push_back(box);
-    running.members = running.set->pools().empty() ? std::vector<std::vector<CacheId>>{}
-                                                   : running.set->members(all, site);
+    if (running.set->pools().empty()) return;
+    // In place: lookups under way look at these very lists.
+    auto now = running.set->members(all, site);
+    for (std::size_t pool = 0; pool < now.size(); pool++) running.members[pool] = std::move(now[pool]);
 }
 
 std::vector<expression::FieldFacts> Live::named() const {
--- a/src/route/live.hpp
+++ b/src/route/live.hpp
@@ -1,8 +1,8 @@
 // The set of rules in force, and those that lookups under way were taken with. Follows the list of boxes, so
 // that the pools of all of them are those of now. No I/O, no clock.
 //
-// A lookup keeps its set until its final answer, through the list of boxes that it was given; a set is freed with
-// the last of them.
+// A lookup keeps its set until its final answer, through the list of boxes that it was given; a set is freed
+// with the last of them.
 #pragma once
 
 #include <map>
@@ -35,10 +35,11 @@
 
 private:
     struct Running {
-        explicit Running(std::shared_ptr<const RuleSet> set) : set(std::move(set)), runner(*this->set) {}
+        explicit Running(std::shared_ptr<const RuleSet> told)
+            : set(std::move(told)), runner(*set), members(set->pools().size()) {}
         std::shared_ptr<const RuleSet> set;
         RuleSet::Runner runner;
-        std::vector<std::vector<CacheId>> members;  // by pool
+        std::vector<std::vector<CacheId>> members;  // by pool; never resized
     };
     void follow(Running& running) const;
     std::shared_ptr<Running> current;
--- a/src/route/rules.cpp
+++ b/src/route/rules.cpp
@@ -15,9 +15,21 @@
 using expression::Value;
 
 // The places of a lookup's fields; the named ones follow.
-enum At { class_at, object_at, part_at, group_at, size_at, remaining_at, retry_at, client_at, time_at, first_named };
+enum At {
+    class_at,
+    object_at,
+    part_at,
+    group_at,
+    size_at,
+    remaining_at,
+    retry_at,
+    client_at,
+    time_at,
+    first_named
+};
 enum BoxAt { box_id_at, box_cell_at, box_kind_at, box_weight_at };
 constexpr Micros day = 86'400'000'000;
+constexpr double index_costs = 5;  // units, to look into one whatever it finds
 
 std::uint32_t longest_of(const std::vector<std::string>& names) {
     std::size_t most = 1;
@@ -46,9 +58,7 @@
             {"time", Type::Duration, 0, 1}};
 }
 
-RuleSet::Runner::Runner(const RuleSet& set) : machine(set.program) {
-    facts.values.resize(set.fields.size());
-}
+RuleSet::Runner::Runner(const RuleSet& set) : machine(set.program) { facts.values.resize(set.fields.size()); }
 
 void RuleSet::gather(const Told& told, Runner& runner) const {
     auto& values = runner.facts.values;
@@ -67,7 +77,8 @@
     for (std::size_t i = first_named; i < fields.size(); i++) {
         values[i] = Value::of(std::string_view("", 0));
         for (auto& [name, value] : told.named)
-            // One that is longer than was declared counts as absent: no cost may depend on what a client sends.
+            // One that is longer than was declared counts as absent: no cost may depend on what a client
+            // sends.
             if (name == fields[i].name && value.size() <= fields[i].longest) {
                 values[i] = Value::of(value);
                 runner.facts.present |= std::uint64_t{1} << i;
@@ -106,7 +117,8 @@
     gather(told, runner);
     for (RuleNumber number = 0; number < rules.size(); number++) {
         auto& rule = rules[number];
-        if (!rule.condition || runner.machine.condition(rule.code, runner.facts)) return make(number, told, runner);
+        if (!rule.condition || runner.machine.condition(rule.code, runner.facts))
+            return make(number, told, runner);
     }
     runner.units += runner.machine.units;
     return {};
@@ -146,7 +158,8 @@
     for (auto& [pool, weight] : rule.pools) {
         if (weight == 0) continue;
         auto& name = pools_[static_cast<std::size_t>(pool)].name;
-        auto draw = static_cast<double>(XXH3_64bits_withSeed(name.data(), name.size(), key) >> 11) * 0x1p-53 + 0x1p-54;
+        auto draw = static_cast<double>(XXH3_64bits_withSeed(name.data(), name.size(), key) >> 11) * 0x1p-53 +
+                    0x1p-54;
         double cost = -std::log(draw) / static_cast<double>(weight);
         if (best < 0 || cost < least) {
             best = pool;
@@ -175,7 +188,8 @@
     return {fields.begin() + first_named, fields.end()};
 }
 
-std::vector<std::vector<CacheId>> RuleSet::members(const std::vector<feed::Endpoint>& boxes, const Site& site) const {
+std::vector<std::vector<CacheId>> RuleSet::members(const std::vector<feed::Endpoint>& boxes,
+                                                   const Site& site) const {
     std::vector<std::vector<CacheId>> own(pools_.size()), ready(pools_.size());
     expression::Machine machine(box_program);
     Facts facts;
@@ -199,7 +213,8 @@
     for (std::size_t pool = 0; pool < pools_.size(); pool++) {
         // `else` names only pools before it, so this ends.
         auto at = static_cast<int>(pool);
-        while (at >= 0 && ready[static_cast<std::size_t>(at)].empty()) at = pools_[static_cast<std::size_t>(at)].otherwise;
+        while (at >= 0 && ready[static_cast<std::size_t>(at)].empty())
+            at = pools_[static_cast<std::size_t>(at)].otherwise;
         if (at < 0) continue;
         all[pool] = own[static_cast<std::size_t>(at)];
         std::sort(all[pool].begin(), all[pool].end());
@@ -207,6 +222,25 @@
     return all;
 }
 
+namespace {
+
+// The literals by which a conjunct is found, each with its key.
+std::vector<std::string> literals_of(const expression::Node& part) {
+    using expression::Op;
+    auto how = Index::how(part);
+    if (!how || (*how != Index::How::Equal && *how != Index::How::Prefix)) return {};
+    auto key = Index::key_of(part) + "\n";
+    std::vector<std::string> all;
+    if (part.op == Op::In)
+        for (auto& text : part.texts) all.push_back(key + text);
+    else
+        for (auto& kid : part.kids)
+            if (kid->op == Op::Const) all.push_back(key + expression::written(*kid));
+    return all;
+}
+
+}  // namespace
+
 // ---- loading
 
 Loader::Loader(std::string told, const Site& site, std::uint64_t budget)
@@ -248,19 +282,29 @@
     using What = expression::Statement::What;
     switch (statement.what) {
         case What::Field: {
-            if (names.taken(statement.name)) return fault(statement.place, "the name '" + statement.name + "' is taken");
+            if (names.taken(statement.name))
+                return fault(statement.place, "the name '" + statement.name + "' is taken");
             if (statement.number < 1 || statement.number > static_cast<std::int64_t>(longest_named))
-                return fault(statement.place, "a field of 1 to 8192 bytes is expected: without a bound no cost is known");
+                return fault(statement.place,
+                             "a field of 1 to 8192 bytes is expected: without a bound no cost is known");
             if (names.known().size() >= first_named + most_named)
                 return fault(statement.place, "more than 16 fields");
             if (!set->rules.empty()) return fault(statement.place, "fields stand before the rules");
             names.add_field({statement.name, Type::Text, static_cast<std::uint32_t>(statement.number), 1});
             break;
         }
-        case What::Let: names.add_let(std::move(statement), found); break;
-        case What::Def: names.add_def(std::move(statement), found); break;
-        case What::Pool: take_pool(std::move(statement)); break;
-        case What::Rule: take_rule(std::move(statement)); break;
+        case What::Let:
+            names.add_let(std::move(statement), found);
+            break;
+        case What::Def:
+            names.add_def(std::move(statement), found);
+            break;
+        case What::Pool:
+            take_pool(std::move(statement));
+            break;
+        case What::Rule:
+            take_rule(std::move(statement));
+            break;
     }
 }
 
@@ -270,7 +314,8 @@
             if (set->pools_[i].name == name) return static_cast<int>(i);
         return -1;
     };
-    if (named(statement.name) >= 0) return fault(statement.place, "the pool '" + statement.name + "' is there already");
+    if (named(statement.name) >= 0)
+        return fault(statement.place, "the pool '" + statement.name + "' is there already");
     if (set->pools_.size() >= 256) return fault(statement.place, "more than 256 pools");
     Pool pool;
     pool.name = statement.name;
@@ -298,7 +343,8 @@
                 if (type == site.traffic.end()) {
                     std::string all;
                     for (auto& name : site.traffic) all += (all.empty() ? "" : ", ") + name;
-                    fault(action.place, "no traffic type \"" + action.name.substr(0, 60) + "\" here; there are " + all);
+                    fault(action.place,
+                          "no traffic type \"" + action.name.substr(0, 60) + "\" here; there are " + all);
                 }
                 rule.traffic = static_cast<int>(type - site.traffic.begin());
                 break;
@@ -315,10 +361,13 @@
                 rule.pools.emplace_back(pool, action.number);
                 break;
             }
-            case What::Limit: rule.limit = action.number; break;
+            case What::Limit:
+                rule.limit = action.number;
+                break;
             case What::Transmissions:
                 if (action.number > site.transmissions)
-                    fault(action.place, std::to_string(action.number) + " transmissions, where the settings allow " +
+                    fault(action.place, std::to_string(action.number) +
+                                            " transmissions, where the settings allow " +
                                             std::to_string(site.transmissions));
                 rule.transmissions = static_cast<int>(action.number);
                 break;
@@ -328,12 +377,14 @@
                 break;
         }
     }
-    if (rule.pools.size() > 1 && std::all_of(rule.pools.begin(), rule.pools.end(), [](auto& p) { return p.second == 0; }))
+    if (rule.pools.size() > 1 &&
+        std::all_of(rule.pools.begin(), rule.pools.end(), [](auto& p) { return p.second == 0; }))
         fault(statement.place, "all weights of rule '" + rule.name + "' are 0");
     if (statement.value) {
         rule.condition = names.resolve(std::move(statement.value), Type::Bool, found);
         if (!rule.condition) return;
-        if (rule.condition->op == expression::Op::Const && rule.condition->number != 0) rule.condition.reset();
+        if (rule.condition->op == expression::Op::Const && rule.condition->number != 0)
+            rule.condition.reset();
         if (rule.condition && rule.condition->op == expression::Op::Const) {
             warned.push_back({rule.place, "rule '" + rule.name + "' never matches: its condition is false"});
             return;
@@ -341,14 +392,38 @@
     }
     if (rule.condition) {
         if (rule.condition->cost > budget)
-            return fault(rule.place, "rule '" + rule.name + "' costs up to " + std::to_string(rule.condition->cost) +
-                                         " units, more than the " + std::to_string(budget) + " of a lookup; most of it: " +
-                                         costliest(*rule.condition));
+            return fault(rule.place, "rule '" + rule.name + "' costs up to " +
+                                         std::to_string(rule.condition->cost) + " units, more than the " +
+                                         std::to_string(budget) +
+                                         " of a lookup; most of it: " + costliest(*rule.condition));
         rule.code = set->program.add(*rule.condition);
+        for (auto* part : conjuncts(*rule.condition))
+            if (Index::how(*part)) {
+                keys[Index::key_of(*part)]++;
+                for (auto& literal : literals_of(*part)) literals[literal]++;
+            }
     }
     set->rules.push_back(std::move(rule));
 }
 
+// An index is looked into at every lookup, a price that the rules which share it divide; a rule's condition
+// is paid as often as the index finds the rule.
+double Loader::price(const expression::Node& part, std::uint64_t condition) const {
+    using expression::Op;
+    auto how = Index::how(part);
+    if (!how) return INFINITY;
+    double sharing = static_cast<double>(keys.at(Index::key_of(part)));
+    double found = 0;
+    if (*how == Index::How::Within)
+        found = part.op == Op::In ? 2 : sharing / 2;  // a comparison holds of half of all values
+    else if (*how == Index::How::Pattern)
+        found = 1;
+    for (auto& literal : literals_of(part))
+        found = std::max(found, static_cast<double>(literals.at(literal)));
+    double look = *how == Index::How::Pattern ? static_cast<double>(part.cost) : index_costs;
+    return look / sharing + static_cast<double>(condition) * std::min(1.0, found / sharing);
+}
+
 void Loader::index(RuleNumber number) {
     auto& rule = set->rules[number];
     if (!rule.condition) {
@@ -357,10 +432,12 @@
     }
     auto parts = conjuncts(*rule.condition);
     const expression::Node* best = nullptr;
-    for (auto* part : parts) {
-        auto how = Index::how(*part);
-        if (how && (!best || *how < *Index::how(*best))) best = part;
-    }
+    double least = static_cast<double>(rule.condition->cost) + 1;  // to try it always
+    for (auto* part : parts)
+        if (auto found = price(*part, rule.condition->cost); found < least) {
+            least = found;
+            best = part;
+        }
     if (!best) {
         set->always.push_back(number);
         return;
@@ -378,8 +455,8 @@
     auto& rule = set->rules[number];
     auto covered = [&](RuleNumber by) {
         auto& earlier = set->rules[by];
-        warned.push_back({rule.place, "rule '" + rule.name + "' never matches: rule '" + earlier.name + "' of line " +
-                                          std::to_string(earlier.place.line) + " covers it"});
+        warned.push_back({rule.place, "rule '" + rule.name + "' never matches: rule '" + earlier.name +
+                                          "' of line " + std::to_string(earlier.place.line) + " covers it"});
     };
     if (always_first) return covered(*always_first);
     if (!rule.condition) {
@@ -389,7 +466,8 @@
     std::vector<std::string> own, all;
     for (auto* part : conjuncts(*rule.condition)) {
         own.push_back(expression::written(*part));
-        bool equal = part->op == Op::Eq && part->kids[0]->type == Type::Text && part->kids[1]->op == Op::Const;
+        bool equal =
+            part->op == Op::Eq && part->kids[0]->type == Type::Text && part->kids[1]->op == Op::Const;
         if (!equal) continue;
         auto key = expression::written(*part->kids[0]);
         auto& literal = part->kids[1]->text;
@@ -421,7 +499,8 @@
                 if (known.size() < 8) known.push_back(expression::written(*part));
             }
         if (part->op == Op::Starts && part->kids[1]->op == Op::Const)
-            prefixes[expression::written(*part->kids[0])].emplace_back(part->kids[1]->text, expression::written(*part));
+            prefixes[expression::written(*part->kids[0])].emplace_back(part->kids[1]->text,
+                                                                       expression::written(*part));
     }
 }
 
@@ -448,7 +527,8 @@
     set->bound_ = all;
     if (all > budget)
         fault({1, 1}, "the rules together cost up to " + std::to_string(all) + " units a lookup, more than " +
-                          std::to_string(budget) + "; most of it, " + std::to_string(most_cost) + ": " + most);
+                          std::to_string(budget) + "; most of it, " + std::to_string(most_cost) + ": " +
+                          most);
 }
 
 std::shared_ptr<const RuleSet> Loader::result() const { return done && found.empty() ? set : nullptr; }
@@ -482,14 +562,15 @@
             all += "and " + std::to_string(found.size() - most) + " more faults\n";
             break;
         }
-        all += "line " + std::to_string(fault.place.line) + ", column " + std::to_string(fault.place.column) + ": " +
-               fault.what + "\n";
+        all += "line " + std::to_string(fault.place.line) + ", column " + std::to_string(fault.place.column) +
+               ": " + fault.what + "\n";
         std::size_t begin = 0;
         for (std::uint32_t line = 1; line < fault.place.line && begin < text.size(); line++) {
             auto end = text.find('\n', begin);
             begin = end == text.npos ? text.size() : end + 1;
         }
-        auto line = std::string_view(text).substr(begin, std::min(text.find('\n', begin), text.size()) - begin);
+        auto line =
+            std::string_view(text).substr(begin, std::min(text.find('\n', begin), text.size()) - begin);
         if (line.size() > 200) continue;
         std::string shown = "    ", caret = "    ";
         for (std::size_t i = 0; i < line.size(); i++) {
--- a/src/route/rules.hpp
+++ b/src/route/rules.hpp
@@ -1,10 +1,10 @@
-// Rules: what a lookup is (traffic type), under which key it is cached, which pool of boxes serves it, and how
-// much it may cost. A set is loaded once, a slice at a time, and never changes after; lookups under way keep the
-// set that they were taken with. No I/O, no clock.
+// Rules: what a lookup is (traffic type), under which key it is cached, which pool of boxes serves it, and
+// how much it may cost. A set is loaded once, a slice at a time, and never changes after; lookups under way
+// keep the set that they were taken with. No I/O, no clock.
 //
 // The first rule whose condition holds decides. Rules may only narrow what the settings allow: a traffic type
-// with a looser effect than the wire's is not taken, limits and transmissions only shrink, copies only go off,
-// and a pool is a part of the boxes that the decision module would choose from anyway.
+// with a looser effect than the wire's is not taken, limits and transmissions only shrink, copies only go
+// off, and a pool is a part of the boxes that the decision module would choose from anyway.
 #pragma once
 
 #include <memory>
@@ -37,30 +37,30 @@
     int traffic = 0;
     ObjectId object = 0;
     int part = 0, group = 0;
-    std::int64_t bytes = 0;       // of the part, 0: not told
+    std::int64_t bytes = 0;         // of the part, 0: not told
     Micros remaining = 0, now = 0;  // Unix time
     bool retry = false;
-    std::uint32_t client = 0;     // IPv4
+    std::uint32_t client = 0;                                          // IPv4
     std::vector<std::pair<std::string_view, std::string_view>> named;  // in any order
 };
 
 struct Decision {
-    int rule = -1;                     // its number in the set, -1: none matched
-    int traffic = -1;                  // -1: as the wire has it
-    std::optional<ObjectId> key;       // in place of the object, in the module and at the boxes
-    int pool = -1;                     // -1: all boxes
-    Micros limit = 0;                  // 0: the client's own
-    int transmissions = 0;             // 0: the settings'
+    int rule = -1;                // its number in the set, -1: none matched
+    int traffic = -1;             // -1: as the wire has it
+    std::optional<ObjectId> key;  // in place of the object, in the module and at the boxes
+    int pool = -1;                // -1: all boxes
+    Micros limit = 0;             // 0: the client's own
+    int transmissions = 0;        // 0: the settings'
     bool no_copies = false;
-    bool looser = false;               // its traffic type was not taken, as its effect is looser than the wire's
+    bool looser = false;  // its traffic type was not taken, as its effect is looser than the wire's
 };
 
 struct Rule {
     std::string name;
     expression::Place place;
-    expression::Tree condition;        // null: always
+    expression::Tree condition;  // null: always
     expression::Code code;
-    bool exact = false;                // the index that finds it is all of its condition
+    bool exact = false;  // the index that finds it is all of its condition
     int traffic = -1;
     std::optional<expression::Code> key;
     std::vector<std::pair<int, std::int64_t>> pools;  // with their weights
@@ -71,8 +71,8 @@
 
 struct Pool {
     std::string name;
-    expression::Code members;          // of the boxes' program
-    int otherwise = -1;                // where it has no box that is ready, -1: all
+    expression::Code members;  // of the boxes' program
+    int otherwise = -1;        // where it has no box that is ready, -1: all
 };
 
 class RuleSet {
@@ -85,8 +85,8 @@
         Cursor cursor;
         std::string key;
         char object[16];
-        std::uint64_t units = 0;       // of the last decision, as counted
-        bool failed = false;           // an amount overflowed somewhere
+        std::uint64_t units = 0;  // of the last decision, as counted
+        bool failed = false;      // an amount overflowed somewhere
     };
     Decision decide(const Told& told, Runner& runner) const;
     Decision decide_in_turn(const Told& told, Runner& runner) const;  // without the index, the same answer
@@ -96,11 +96,13 @@
 
     const std::vector<Rule>& all() const { return rules; }
     const std::vector<Pool>& pools() const { return pools_; }
-    std::vector<expression::FieldFacts> named() const;  // the named fields that conditions and keys may ask for
+    std::vector<expression::FieldFacts> named()
+        const;                                      // the named fields that conditions and keys may ask for
     std::uint64_t bound() const { return bound_; }  // units of a decision at most
-    // Of the boxes, those in each pool, by the pools' numbers; sorted ids. Falls back where a pool has none that
-    // is ready: to its `else`, and in the end to none at all, which stands for every box.
-    std::vector<std::vector<CacheId>> members(const std::vector<feed::Endpoint>& boxes, const Site& site) const;
+    // Of the boxes, those in each pool, by the pools' numbers; sorted ids. Falls back where a pool has none
+    // that is ready: to its `else`, and in the end to none at all, which stands for every box.
+    std::vector<std::vector<CacheId>> members(const std::vector<feed::Endpoint>& boxes,
+                                              const Site& site) const;
 
 private:
     friend class Loader;
@@ -112,7 +114,7 @@
     std::vector<expression::FieldFacts> fields;  // of the lookup, the named ones from `first_named` on
     std::vector<TrafficFacts> types;
     std::vector<std::string> traffic;
-    expression::Program program;       // conditions, keys and what is looked up
+    expression::Program program;  // conditions, keys and what is looked up
     expression::Program box_program;
     std::vector<Rule> rules;
     std::vector<Pool> pools_;
@@ -134,7 +136,7 @@
     bool step(int statements);  // true once all is done
     const std::vector<expression::Fault>& faults() const { return found; }
     const std::vector<Warning>& warnings() const { return warned; }  // rules that never match
-    std::shared_ptr<const RuleSet> result() const;                    // null where there are faults
+    std::shared_ptr<const RuleSet> result() const;                   // null where there are faults
     std::string report(std::size_t most = 20) const;  // the faults with their lines and a caret under each
 
 private:
@@ -142,6 +144,8 @@
     void take_rule(expression::Statement statement);
     void take_pool(expression::Statement statement);
     void index(RuleNumber number);
+    // What a lookup pays on average for a rule that is found by this conjunct, units.
+    double price(const expression::Node& conjunct, std::uint64_t condition) const;
     void find_covered(RuleNumber number);
     void finish();
     void fault(expression::Place place, std::string what) { found.push_back({place, std::move(what)}); }
@@ -155,8 +159,11 @@
     expression::Names names, box_names;
     std::vector<expression::Piece> pieces;
     std::size_t next_piece = 0, next_rule = 0, next_index = 0, next_cover = 0;
+    std::unordered_map<std::string, std::size_t> literals,
+        keys;  // of conjuncts, and how many rules have each
     std::unordered_map<std::string, std::size_t> index_by_key;
-    std::unordered_map<std::string, RuleNumber> conditions;  // sets of conjuncts, as text, to their first rule
+    std::unordered_map<std::string, RuleNumber>
+        conditions;  // sets of conjuncts, as text, to their first rule
     std::unordered_map<std::string, std::vector<std::pair<std::string, std::string>>> prefixes;  // by key
     std::unordered_map<std::string, std::vector<std::string>> in_sets;  // key and literal to conjuncts
     std::optional<RuleNumber> always_first;
--- a/src/version/check.cpp
+++ b/src/version/check.cpp
@@ -96,7 +96,8 @@
     }
     if (!rules->step(statements)) return false;
     for (auto& one : rules->faults())
-        fault("line " + std::to_string(one.place.line) + ", column " + std::to_string(one.place.column), one.what);
+        fault("line " + std::to_string(one.place.line) + ", column " + std::to_string(one.place.column),
+              one.what);
     checked->rules = rules->result();
     rules.reset();
     return done = true;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -1,11 +1,12 @@
 // The rule language and what rules decide.
+#include "route/rules.hpp"
+
 #include <doctest/doctest.h>
 
 #include <cstdlib>
 #include <new>
 
 #include "helpers.hpp"
-#include "route/rules.hpp"
 
 using namespace quillgrade;
 using namespace quillgrade::route;
@@ -77,19 +78,45 @@
 }  // namespace
 
 TEST_CASE("conditions: fields, literals, logic, arithmetic") {
-    for (auto* yes :
-         {"true", "class == \"lesson-video\"", "not class == \"order\"", "part == 3 and group == 17",
-          "part == 4 or group == 17", "object == \"7f3a9c21e0b4d655\"", "size > 400kb and size < 1mb",
-          "remaining >= 1s and remaining <= 1500ms", "not retry", "client == 10.1.2.3", "client in 10.1.0.0/16",
-          "client in {10.2.0.0/16, 10.1.2.3}", "part in {1, 3..5}", "class in {\"lesson-video\", \"order\"}",
-          "starts_with(object, \"7f3a\")", "ends_with(object, \"d655\")", "contains(object, \"9c21\")",
-          "matches(object, \"^7f.*55$\")", "part * 2 + 1 == 7", "part - 5 == -2", "-part == -3", "7 / 2 == 3",
-          "size / 2 > 200kb", "remaining * 2 == 3s", "size / 1kb == 412", "slice(object, 0, 4) == \"7f3a\"",
-          "slice(object, 14, 99) == \"55\"", "slice(object, 9, 3) == \"\"", "lower(\"ABC\") == \"abc\"",
-          "upper(class) == \"LESSON-VIDEO\"", "join(\"/\", class, \"x\") == \"lesson-video/x\"",
-          "join(\"\", text(part), hex(part)) == \"30000000000000003\"", "length(object) == 16", "hash(object) == hash(object)",
-          "time >= 00:00 and time < 24:00", "\"a\\x41\\n\" == \"aA\\x0a\"", "(part == 3) == true",
-          "part < 4 and part <= 3 and part > 2 and part >= 3 and part != 9", "true or 1 / part == 9"})
+    for (auto* yes : {"true",
+                      "class == \"lesson-video\"",
+                      "not class == \"order\"",
+                      "part == 3 and group == 17",
+                      "part == 4 or group == 17",
+                      "object == \"7f3a9c21e0b4d655\"",
+                      "size > 400kb and size < 1mb",
+                      "remaining >= 1s and remaining <= 1500ms",
+                      "not retry",
+                      "client == 10.1.2.3",
+                      "client in 10.1.0.0/16",
+                      "client in {10.2.0.0/16, 10.1.2.3}",
+                      "part in {1, 3..5}",
+                      "class in {\"lesson-video\", \"order\"}",
+                      "starts_with(object, \"7f3a\")",
+                      "ends_with(object, \"d655\")",
+                      "contains(object, \"9c21\")",
+                      "matches(object, \"^7f.*55$\")",
+                      "part * 2 + 1 == 7",
+                      "part - 5 == -2",
+                      "-part == -3",
+                      "7 / 2 == 3",
+                      "size / 2 > 200kb",
+                      "remaining * 2 == 3s",
+                      "size / 1kb == 412",
+                      "slice(object, 0, 4) == \"7f3a\"",
+                      "slice(object, 14, 99) == \"55\"",
+                      "slice(object, 9, 3) == \"\"",
+                      "lower(\"ABC\") == \"abc\"",
+                      "upper(class) == \"LESSON-VIDEO\"",
+                      "join(\"/\", class, \"x\") == \"lesson-video/x\"",
+                      "join(\"\", text(part), hex(part)) == \"30000000000000003\"",
+                      "length(object) == 16",
+                      "hash(object) == hash(object)",
+                      "time >= 00:00 and time < 24:00",
+                      "\"a\\x41\\n\" == \"aA\\x0a\"",
+                      "(part == 3) == true",
+                      "part < 4 and part <= 3 and part > 2 and part >= 3 and part != 9",
+                      "true or 1 / part == 9"})
         CHECK_MESSAGE(holds(yes), yes);
     for (auto* no : {"false", "class == \"order\"", "part in {1, 4..9}", "client in 10.2.0.0/16", "retry",
                      "matches(object, \"^f\")", "size > 1gb", "starts_with(object, \"7f3b\")", "has(school)",
@@ -142,9 +169,12 @@
         "rule l when length(part) == 1: copies off;\n"
         "let school = 3;\n");
     for (auto* wanted :
-         {"line 2, column 9: numbers, durations or sizes are expected", "line 3, column 13: 'clas' is not known here; fields: class",
-          "line 4, column 21: int is expected, not text (\"3\")", "line 5, column 23: ':' and what the rule decides",
-          "line 6, column 29: the pattern of matches has to be a text as it stands", "line 7, column 13: the pattern can't be used: missing )",
+         {"line 2, column 9: numbers, durations or sizes are expected",
+          "line 3, column 13: 'clas' is not known here; fields: class",
+          "line 4, column 21: int is expected, not text (\"3\")",
+          "line 5, column 23: ':' and what the rule decides",
+          "line 6, column 29: the pattern of matches has to be a text as it stands",
+          "line 7, column 13: the pattern can't be used: missing )",
           "line 8, column 15: no traffic type \"nothing\" here; there are lesson-video", "no pool 'nowhere'",
           "9 transmissions, where the settings allow 6", "line 11, column 13: text is expected, not int",
           "line 12, column 24: a set of text holds a int: 1", "line 13, column 13: bool is expected, not int",
@@ -162,13 +192,13 @@
         "rule it when both(video, school(object) == \"7f3a\"): copies off;");
     RuleSet::Runner runner(*set);
     CHECK(set->decide(told(), runner).rule == 0);
-    CHECK(faults("def f(a: int) = f(a);").find("no function 'f'; a function sees only those defined before it") !=
-          std::string::npos);
+    CHECK(faults("def f(a: int) = f(a);")
+              .find("no function 'f'; a function sees only those defined before it") != std::string::npos);
     CHECK(faults("def f(a: int) = g(a); def g(a: int) = a;").find("no function 'g'") != std::string::npos);
     CHECK(faults("let a = a;").find("'a' is not known") != std::string::npos);
     CHECK(faults("def f(a: int) = a + \"x\";") != "");
-    CHECK(faults("def f(a: int) = a; rule x when f(\"s\") == 1: copies off;").find("'a' of 'f' is of type int, not text") !=
-          std::string::npos);
+    CHECK(faults("def f(a: int) = a; rule x when f(\"s\") == 1: copies off;")
+              .find("'a' of 'f' is of type int, not text") != std::string::npos);
 }
 
 TEST_CASE("what has no bound, or costs more than the budget, is refused and says what costs most") {
@@ -179,18 +209,25 @@
               .find("most of it: matches(f, \"(a|b)*c\")") != std::string::npos);
     std::string doubling = "field f max 1000; let a0 = join(\"\", f, f);";
     for (int i = 1; i < 12; i++)
-        doubling += "let a" + std::to_string(i) + " = join(\"\", a" + std::to_string(i - 1) + ", a" + std::to_string(i - 1) + ");";
+        doubling += "let a" + std::to_string(i) + " = join(\"\", a" + std::to_string(i - 1) + ", a" +
+                    std::to_string(i - 1) + ");";
     auto joined = faults(doubling);
-    CHECK_MESSAGE((joined.find("more than 65536") != std::string::npos || joined.find("4096 parts") != std::string::npos), joined);
+    CHECK_MESSAGE((joined.find("more than 65536") != std::string::npos ||
+                   joined.find("4096 parts") != std::string::npos),
+                  joined);
     std::string many = "field f max 64;";
-    for (int i = 0; i < 100; i++) many += "rule r" + std::to_string(i) + " when contains(f, \"" + std::to_string(i) + "\"): copies off;";
+    for (int i = 0; i < 100; i++)
+        many +=
+            "rule r" + std::to_string(i) + " when contains(f, \"" + std::to_string(i) + "\"): copies off;";
     CHECK(faults(many, 1000).find("100 rules that can't be looked up by a literal") != std::string::npos);
     CHECK(load(many));
 }
 
 TEST_CASE("a file cut at any byte is refused or means nothing else, and so are odd bytes and deep nesting") {
-    std::string good = "field f max 9; let v = part == 3; def g(a: text) = lower(a); pool p = box.cell in {1, 2} ;"
-                       "rule x when v and g(f) == \"a\\x00b\" # why\n : class \"order\", key join(\"/\", f, object), pool p weight 9, limit 2s;";
+    std::string good =
+        "field f max 9; let v = part == 3; def g(a: text) = lower(a); pool p = box.cell in {1, 2} ;"
+        "rule x when v and g(f) == \"a\\x00b\" # why\n : class \"order\", key join(\"/\", f, object), pool p "
+        "weight 9, limit 2s;";
     CHECK(load(good));
     for (std::size_t length = 0; length < good.size(); length++) {
         Loader loader(good.substr(0, length), here);
@@ -212,12 +249,17 @@
         for (int i = 0; i < 30'000; i++) deep += nested;
         CHECK(faults(deep + "1: copies off;").find("nested more than 64 deep") != std::string::npos);
     }
-    CHECK(faults("rule x when part == 99999999999999999999: copies off;").find("beyond 2^63-1") != std::string::npos);
-    CHECK(faults("rule x when remaining > 9223372036854775807h: copies off;").find("beyond 2^63-1") != std::string::npos);
-    CHECK(faults("rule x when client == 10.1.2.300: copies off;").find("whose parts go to 255") != std::string::npos);
-    CHECK(faults("rule x when client in 10.1.2.3/8: copies off;").find("bits past the prefix are 0") != std::string::npos);
+    CHECK(faults("rule x when part == 99999999999999999999: copies off;").find("beyond 2^63-1") !=
+          std::string::npos);
+    CHECK(faults("rule x when remaining > 9223372036854775807h: copies off;").find("beyond 2^63-1") !=
+          std::string::npos);
+    CHECK(faults("rule x when client == 10.1.2.300: copies off;").find("whose parts go to 255") !=
+          std::string::npos);
+    CHECK(faults("rule x when client in 10.1.2.3/8: copies off;").find("bits past the prefix are 0") !=
+          std::string::npos);
     CHECK(faults("rule x when time > 25:00: copies off;").find("00:00 to 24:00") != std::string::npos);
-    CHECK(faults(std::string("rule x when class == \"a\0b\": copies off;", 39)).find("NUL byte") != std::string::npos);
+    CHECK(faults(std::string("rule x when class == \"a\0b\": copies off;", 39)).find("NUL byte") !=
+          std::string::npos);
     CHECK(holds("class != \"\xff\xfe\""));  // strings are bytes
     CHECK(faults(std::string(9'000'000, ' ')).find("longer than 8 MB") != std::string::npos);
 }
@@ -292,8 +334,10 @@
 
 TEST_CASE("weights: a change moves only the share that moves") {
     auto count = [&](int weight, std::vector<int>& pools) {
-        auto set = load("pool a = true; pool b = box.cell == 1; pool c = box.cell == 2; rule x: pool a weight 60, pool b weight " +
-                        std::to_string(weight) + ", pool c weight 20;");
+        auto set = load(
+            "pool a = true; pool b = box.cell == 1; pool c = box.cell == 2; rule x: pool a weight 60, pool b "
+            "weight " +
+            std::to_string(weight) + ", pool c weight 20;");
         RuleSet::Runner runner(*set);
         auto what = told();
         int there = 0;
@@ -308,7 +352,8 @@
     CHECK(count(20, before) == doctest::Approx(0.2).epsilon(0.05));
     CHECK(count(40, after) == doctest::Approx(1 / 3.0).epsilon(0.05));
     for (std::size_t i = 0; i < before.size(); i++)
-        if (before[i] != after[i]) REQUIRE(after[i] == 1);  // to the one that grew, from the others, nowhere else
+        if (before[i] != after[i])
+            REQUIRE(after[i] == 1);  // to the one that grew, from the others, nowhere else
     CHECK(count(0, none) == 0);
 }
 
@@ -325,8 +370,9 @@
         "rule i when 1 == 2: limit 1s;"
         "rule j: limit 1s;"
         "rule k when part == 9: limit 1s;");
-    for (auto* wanted : {"'b' never matches: rule 'a'", "'d' never matches: rule 'c'", "'g' never matches: rule 'f'",
-                         "'i' never matches: its condition is false", "'k' never matches: rule 'j'"})
+    for (auto* wanted :
+         {"'b' never matches: rule 'a'", "'d' never matches: rule 'c'", "'g' never matches: rule 'f'",
+          "'i' never matches: its condition is false", "'k' never matches: rule 'j'"})
         CHECK_MESSAGE(all.find(wanted) != std::string::npos, wanted << " in " << all);
     CHECK(std::count(all.begin(), all.end(), '\n') == 5);
 }
@@ -337,20 +383,34 @@
     auto draw = [&](unsigned n) { return chance.next() % n; };
     auto number = [&] { return std::to_string(draw(6)); };
     switch (draw(depth < 3 ? 16 : 11)) {
-        case 0: return "part == " + number();
-        case 1: return "group == " + number();
-        case 2: return "class == \"" + here.traffic[draw(3)] + "\"";
-        case 3: return "school == \"s" + number() + "\"";
-        case 4: return "starts_with(school, \"" + std::string(draw(2) ? "s" : "") + number() + "\")";
-        case 5: return "part in {" + number() + ", " + number() + ".." + std::to_string(6 + draw(3)) + "}";
-        case 6: return "school in {\"s1\", \"s" + number() + "\"}";
-        case 7: return "client in 10.1." + number() + ".0/" + std::to_string(24);
-        case 8: return "matches(school, \"s[" + number() + "-7]\")";
-        case 9: return std::string(draw(2) ? "group < " : "3 <= ") + (draw(2) ? "3" : "part");
-        case 10: return "contains(school, \"" + number() + "\")";
-        case 11: return "not (" + drawn(chance, depth + 1) + ")";
-        case 12: return "(" + drawn(chance, depth + 1) + " or " + drawn(chance, depth + 1) + ")";
-        default: return "(" + drawn(chance, depth + 1) + " and " + drawn(chance, depth + 1) + ")";
+        case 0:
+            return "part == " + number();
+        case 1:
+            return "group == " + number();
+        case 2:
+            return "class == \"" + here.traffic[draw(3)] + "\"";
+        case 3:
+            return "school == \"s" + number() + "\"";
+        case 4:
+            return "starts_with(school, \"" + std::string(draw(2) ? "s" : "") + number() + "\")";
+        case 5:
+            return "part in {" + number() + ", " + number() + ".." + std::to_string(6 + draw(3)) + "}";
+        case 6:
+            return "school in {\"s1\", \"s" + number() + "\"}";
+        case 7:
+            return "client in 10.1." + number() + ".0/" + std::to_string(24);
+        case 8:
+            return "matches(school, \"s[" + number() + "-7]\")";
+        case 9:
+            return std::string(draw(2) ? "group < " : "3 <= ") + (draw(2) ? "3" : "part");
+        case 10:
+            return "contains(school, \"" + number() + "\")";
+        case 11:
+            return "not (" + drawn(chance, depth + 1) + ")";
+        case 12:
+            return "(" + drawn(chance, depth + 1) + " or " + drawn(chance, depth + 1) + ")";
+        default:
+            return "(" + drawn(chance, depth + 1) + " and " + drawn(chance, depth + 1) + ")";
     }
 }
 
@@ -377,7 +437,8 @@
             what.part = static_cast<int>(chance.next() % 9);
             what.group = static_cast<int>(chance.next() % 6);
             what.client = 0x0a010000 + (chance.next() % 6 << 8) + 5;
-            auto school = (chance.next() % 3 ? "s" : "") + std::to_string(chance.next() % 8) + (chance.next() % 2 ? "x" : "");
+            auto school = (chance.next() % 3 ? "s" : "") + std::to_string(chance.next() % 8) +
+                          (chance.next() % 2 ? "x" : "");
             what.named = {{"school", school}};
             auto by_turn = set->decide_in_turn(what, runner).rule;
             REQUIRE(set->decide(what, runner).rule == by_turn);
