--- a/src/rig/world.cpp
+++ b/src/rig/world.cpp
@@ -361,8 +361,8 @@
         bufferevent_write(client.buffer.get(), frame.data(), frame.size());
     }
 
-    // By the protocol a router may close a connection on which nothing is open, and a lookup that crosses such a
-    // close within 50 ms is sent again on another connection, once.
+    // By the protocol a router may close a connection on which nothing is open, and a lookup that crosses
+    // such a close within 50 ms is sent again on another connection, once.
     void bury(Micros now) {
         for (auto& client : clients) {
             if (!client.dead) continue;
--- a/tests/operate_test.cpp
+++ b/tests/operate_test.cpp
@@ -48,7 +48,8 @@
 TEST_CASE("all faults are told at once, by path") {
     auto told =
         faults(R"({"contrl": {}, "control": {"services": ["127.0.0.1:18000", "here", 5, "127.0.0.1:18000"],
-        "form": "half", "trial": {"for_s": 1, "rize": 1}, "kinds": ["boxes", "dogs"]}, "store": {"megabytes": "x"}})");
+        "form": "half", "trial": {"for_s": 1, "rize": 1}, "kinds": ["boxes", "dogs"]},
+        "store": {"megabytes": "x"}})");
     for (auto* wanted : {"contrl: no such member; known here: control, store, rules",
                          "control.services[1]: 'here' is no address", "control.services[2]: 5 is no address",
                          "control.services[3]: \"127.0.0.1:18000\" stands there twice",
