Test the guards that no test would have missed: full store, mute service, amounts

Cause: read as a stranger, the change had guards that nothing caused: a store that can be neither written nor emptied, a service that takes the call and says nothing, amounts as they act, clients that leave late.

--- a/src/rig/relay.cpp
+++ b/src/rig/relay.cpp
@@ -11,18 +11,12 @@
 #include <string>
 #include <vector>
 
+#include "rig/local.hpp"
+
 namespace quillgrade::rig {
 
 namespace {
 
-sockaddr_in here(int port) {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    address.sin_port = htons(static_cast<std::uint16_t>(port));
-    return address;
-}
-
 struct Pair {
     int client, server;
 };
--- a/src/rig/world.cpp
+++ b/src/rig/world.cpp
@@ -23,6 +23,7 @@
 #include <utility>
 
 #include "bytes/bytes.hpp"
+#include "rig/local.hpp"
 
 namespace quillgrade::rig {
 
@@ -47,14 +48,6 @@
     return {static_cast<time_t>(wait / 1'000'000), static_cast<suseconds_t>(wait % 1'000'000)};
 }
 
-sockaddr_in here(int port) {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    address.sin_port = htons(static_cast<std::uint16_t>(port));
-    return address;
-}
-
 void put_text(std::string& out, const std::string& text) {
     put_number(out, 4, text.size());
     out += text;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -240,6 +240,28 @@
     CHECK(quiet.turn.held() == 0);
 }
 
+TEST_CASE("amounts that came into force bound the next lookup") {
+    for (int most : {0, 1}) {
+        Quiet quiet;
+        version::Amounts amounts;
+        if (most) amounts.transmissions = most;
+        quiet.turn.take({quiet.caches({1, 2, 3}), amounts, quiet.arrived(9)}, noon);
+        quiet.turn.take({Landed{9, 0, 1, Outcome::Reset, noon, {}}}, noon + test_ms);
+        CHECK(quiet.turn.held() == (most ? 0 : 1));
+        CHECK(quiet.turn.counts().bad == (most ? 1 : 0));
+    }
+}
+
+// What a trial compares: a client that waited in vain counts as broken off, one that leaves early does not.
+TEST_CASE("a client that leaves late counts as badly served, one that leaves early does not") {
+    for (bool late : {false, true}) {
+        Quiet quiet;
+        quiet.turn.take({quiet.caches({1, 2, 3}), quiet.arrived(9)}, noon);
+        quiet.turn.take({Left{{1, 1}, 9}}, noon + (late ? 3 : 1) * test_second);
+        CHECK(quiet.turn.counts().bad == (late ? 1 : 0));
+    }
+}
+
 TEST_CASE("an id in use is not taken a second time, and its abort leaves the first alone") {
     Quiet quiet;
     quiet.turn.take({quiet.caches({1, 2, 3}), quiet.arrived(9, 1), quiet.arrived(9, 2), Left{{1, 2}, 9}},
--- a/tests/streamed_test.cpp
+++ b/tests/streamed_test.cpp
@@ -211,6 +211,49 @@
     CHECK(log.find("can't be written", first + 1) == std::string::npos);
 }
 
+// Guards against a start from a version older than one that was acknowledged when the store was full.
+TEST_CASE("a version that the store can't hold empties it; where that fails too the version is refused") {
+    Scene scene;
+    scene.store = R"(, "store": {"path": ")" + scene.folder + R"(/store", "megabytes": 1, "sync": false})";
+    scene.more = R"(, "trial": false)";
+    ControlService control("ctl-a");
+    std::vector<Place> many;
+    for (int i = 1; i <= 30'000; i++) many.push_back({i, 1 + i});
+    auto one = boxes({{1, scene.world.port_of_box(scene.world.add_box())}});
+    auto file = scene.folder + "/store/data.mdb";
+    {
+        auto router = scene.start({control.port()});
+        REQUIRE(!control.answer(control.publish(boxes_type, 1, one))->turned_down);
+        std::filesystem::rename(file, file + ".away");  // open still, but no longer to be unlinked
+        std::filesystem::create_directories(file + "/in_the_way");
+        auto refused = control.answer(control.publish(boxes_type, 2, boxes(many))).value();
+        CHECK(refused.turned_down);
+        CHECK(refused.reason.find("can be neither written nor emptied") != std::string::npos);
+        std::filesystem::remove_all(file);
+        std::filesystem::rename(file + ".away", file);
+    }
+    control.publish(boxes_type, 3, one);
+    {
+        auto router = scene.start({control.port()});
+        REQUIRE(router->says("starting from the store: Boxes 1"));
+        REQUIRE(!control.answer(control.publish(boxes_type, 4, boxes(many)))->turned_down);
+        CHECK(router->says("nothing is kept for now"));
+    }
+    auto router = scene.start({free_port()});
+    CHECK(router->log().find("starting from the store") == std::string::npos);
+}
+
+TEST_CASE("a service that takes the call and says nothing is passed over") {
+    Scene scene;
+    ControlService mute("ctl-a"), spare("ctl-a");
+    mute.say_nothing(true);
+    mute.publish(boxes_type, 9, boxes({{1, 1}}));
+    spare.publish(boxes_type, 1, boxes({{1, scene.world.port_of_box(scene.world.add_box())}}));
+    auto router = scene.start({mute.port(), spare.port()});
+    CHECK(router->says("lost: no answer", 15));
+    CHECK(router->says("version Boxes 1 of 'ctl-a' in force", 15));
+}
+
 TEST_CASE(
     "out of order, repeated and skipped versions, and a service that starts again with a new identity") {
     Scene scene;
