--- a/src/control.cpp
+++ b/src/control.cpp
@@ -212,10 +212,14 @@
     held.rounds.push_back({cache.id, source_id, now, static_cast<Micros>(work)});
     InFlight flight{held.facts.id, round, held.facts.traffic, now, expected, held.sending};
     cache.in_flight.push_back(flight);
-    if (is_cold(router, cache, now)) add(cache.spent, now, work, 1024);
+    auto spend = [&](Server& at) {
+        if (is_cold(router, at, now)) add(at.spent, now, work, 1024);
+        if (at.right > 0) at.right -= std::min(work, at.right);
+    };
+    spend(cache);
     if (Server* source = find_server(router, source_id); source && source != &cache) {
         source->in_flight.push_back(flight);
-        if (is_cold(router, *source, now)) add(source->spent, now, work, 1024);
+        spend(*source);
     }
     Answer answer;
     answer.send = {.cache = cache.id,
@@ -272,7 +276,6 @@
             {t.goal, t.fresh, t.window, t.goal_stretch, t.effect, t.group, t.write, {}, {}, {}, {}, {}});
     edge_sharers = std::max(1, site.routers_by_zone.at(site.zone));
     parent_sharers = std::max(1, site.routers);
-    p = std::clamp(whole_p / edge_sharers, least_p, most_p);
     kb_per_us = site.kb_per_s / second;
     if (!site.retry_after) most_retry_after = 0;
     want_list = site.list_must_be_asked;
@@ -281,6 +284,10 @@
     chance.next();
 }
 
+// 20 over the location's routers, for those whose counts are known here: where all are heard, each decides by
+// what the location was asked for, and a part that is cut off as a location of that part's size.
+double Router::p() const { return std::clamp(whole_p * heard / edge_sharers, least_p, most_p); }
+
 Server* find_server(Router& router, CacheId id) {
     auto at = std::lower_bound(router.servers.begin(), router.servers.end(), id,
                                [](auto& server, CacheId wanted) { return server.id < wanted; });
@@ -360,7 +367,7 @@
     }
     auto& name = router.names[lookup.object];
     name.asked++;
-    if (router.chance.unit() < psi(name.asked, router.p)) name.kept = true;
+    if (router.chance.unit() < psi(name.asked + lookup.elsewhere, router.p())) name.kept = true;
     return name.kept;
 }
 
@@ -375,7 +382,12 @@
 const char* beside_peers(const Router& router, const Server& server, Micros now) {
     auto verdicts = recent(server.verdicts, now), slowness = recent(server.slowness, now);
     // Nothing to say of what was hardly measured; going through all peers for each would cost their square.
-    if (verdicts.size() < enough && slowness.size() < enough) return nullptr;
+    // There others have the word, as far as they agree. Own samples beat them.
+    if (verdicts.size() < enough && slowness.size() < enough) {
+        if (server.hearsay.samples < enough) return nullptr;
+        if (server.hearsay.bad > bad_share) return "failing, by hearsay";
+        return server.hearsay.slow > far_worse ? "slow, by hearsay" : nullptr;
+    }
     std::vector<double> peers_bad, peers_slow;
     bool own_fault = is_parent(router, server) && router.notes == NotesTold::All;
     for (auto& peer : router.servers) {
@@ -407,17 +419,27 @@
     return server.judged;
 }
 
+// What the settings allow a server of so wide a link within any window, that long after its start, as sending
+// time.
+double whole_cold_budget(const Bounds& site, bool parent, double link, Micros age) {
+    double from = parent ? site.parent_cold_from : site.cold_from;
+    double grown = std::max<double>(0, age - site.cold_window);
+    double share = from + (1 - from) * grown / (parent ? site.parent_cold : site.cold);
+    return (parent ? site.parent_multiple : site.cold_multiple) * (share * link * site.cold_window);
+}
+
 // A cold server may be asked, by all routers together and within any window, for a multiple of what it can
 // do; this router takes its share, less a margin. Where the link is not told, what it has seen the server and
 // its like carry stands for it. What the server has answered since its start is always within what it can do,
-// so a router that has just started itself finds its way up from a small first guess.
+// so a router that has just started itself finds its way up from a small first guess. Where the routers share
+// the whole, what this one holds of it now stands for all that.
 bool within_cold_budget(const Router& router, const Server& server, double work, Micros now) {
     if (!is_cold(router, server, now)) return true;
+    server.wanted += work;
+    server.wanted_once = work;
+    if (server.right >= 0) return work <= server.right;
     bool parent = is_parent(router, server);
     double sharers = parent ? router.parent_sharers : router.edge_sharers;
-    double from = parent ? router.parent_cold_from : router.cold_from;
-    double age = std::max<double>(0, now - router.cold_window - cold_since(server));
-    double share = from + (1 - from) * age / (parent ? router.parent_cold : router.cold);
     double link = (router.ratings_are_links ? server.rating : least_link) / sharers;
     std::vector<double> seen;
     for (auto& peer : router.servers)
@@ -428,7 +450,8 @@
     for (auto& sample : server.finished)
         if (sample.at > std::max(cold_since(server), now - router.cold_window)) answered += sample.value;
     double multiple = parent ? router.parent_multiple : router.cold_multiple;
-    double allowed = multiple * std::max(share * link * router.cold_window, answered);
+    double allowed =
+        std::max(whole_cold_budget(router, parent, link, now - cold_since(server)), multiple * answered);
     for (auto& sample : server.spent)
         if (now - sample.at < router.cold_window + 100 * ms) spent += sample.value;
     return spent <= budget_margin * allowed;
@@ -721,8 +744,10 @@
     }
     if (source && !hit && !held.held_only && !ours && end.outcome != Outcome::Miss)
         add(type.fill_room, now, ok ? room_of(held, end.lag) : failed_fill_room, few, source->id);
-    if (source && hit)  // the source was never asked
+    if (source && hit) {  // the source was never asked
         std::erase_if(source->spent, [&](auto& s) { return s.at == round.sent && s.value == round.work; });
+        if (source->right >= 0) add(source->returned, round.sent, round.work, 1024);
+    }
     land(cache, held.facts.id, end.round);
     land(source, held.facts.id, end.round);
     if (ok) {
@@ -822,6 +847,41 @@
         server->unreached_at = now;
 }
 
+// What stands out is told by two samples: others have theirs, and weigh them together.
+std::vector<Testimony> Router::witnessed(Micros now) const {
+    std::vector<double> bads, slows;
+    std::vector<Testimony> all, told;
+    std::vector<const Server*> of;
+    for (auto& server : servers) {
+        auto verdicts = recent(server.verdicts, now), slowness = recent(server.slowness, now);
+        double samples = std::max(verdicts.size(), slowness.size());
+        if (server.listed != Listed::Ready || is_origin(*this, server)) continue;
+        if (server.unreached_at > 0) verdicts.assign(2, 1), samples = std::max(samples, 2.0);
+        if (samples < 2) continue;
+        all.push_back({server.id, server.started, samples, mean(verdicts, 0), median(slowness, 0)});
+        of.push_back(&server);
+    }
+    for (std::size_t i = 0; i < all.size(); i++) {
+        bads.clear(), slows.clear();
+        for (std::size_t j = 0; j < all.size(); j++) {
+            if (j == i || !same_role(*this, *of[i], *of[j])) continue;
+            bads.push_back(all[j].bad);
+            if (all[j].slow > 0) slows.push_back(all[j].slow);
+        }
+        Testimony one = all[i];
+        one.slow = slows.empty() ? 0 : one.slow / std::max(1.0, median(slows, 1));
+        if (one.bad > std::max(bad_share, far_worse * median(bads, 0)) || one.slow > far_worse)
+            told.push_back(one);
+    }
+    return told;
+}
+
+int Router::measured(Micros now) const {
+    return static_cast<int>(std::count_if(servers.begin(), servers.end(), [&](auto& server) {
+        return server.unreached_at > 0 || recent(server.verdicts, now).size() > 1;
+    }));
+}
+
 // Probes what has gone quiet and reports changes of favour.
 Upkeep Router::tend(Micros now) {
     Upkeep upkeep;
--- a/src/control.hpp
+++ b/src/control.hpp
@@ -93,6 +93,7 @@
     int most_transmissions = 0;  // 0: as the site has it
     bool no_copies = false;
     std::shared_ptr<const std::vector<CacheId>> among = nullptr;  // sorted; null or empty: all caches
+    double elsewhere = 0;  // routers of the location that have asked for it too, as far as is told
 };
 
 struct AttemptEnd {
@@ -148,6 +149,18 @@
     Micros sent, expected, work;
 };
 
+// What other routers say of a server, weighed: samples, the share of them that failed, and how many times as
+// slow as its peers it is.
+struct Hearsay {
+    double samples = 0, bad = 0, slow = 0;
+};
+// What this router says of a server that stands out by few samples already.
+struct Testimony {
+    CacheId server;
+    Micros started;
+    double samples, bad, slow;
+};
+
 struct Server {
     CacheId id = 0;
     Listed listed = Listed::Ready;
@@ -171,6 +184,13 @@
     Samples finished;    // sending time answered
     Samples first_byte;  // of a source
     Samples spent;       // sending time sent while cold
+    Hearsay hearsay;
+    // Where the routers share the cold budget: the sending time that this one may send now, used up by what
+    // it sends. Below 0: they don't, and each takes its part of the whole.
+    double right = -1;
+    mutable double wanted = 0,
+                   wanted_once = 0;  // sending time that was looked for while cold, and of one lookup
+    Samples returned;                // sent by a right, and the server was never asked
 };
 
 struct CountedName {
@@ -240,12 +260,16 @@
     void list_failed();
     void purged(ObjectId object, int group, Micros how_old, Micros now);
     void probed(CacheId cache, Outcome outcome, Micros lag, const LoadReport& load, Micros now);
+    std::vector<Testimony> witnessed(Micros now) const;  // servers that stand out beside their peers
+    int measured(Micros now) const;                      // servers of which there are samples
     Upkeep tend(Micros now);  // to be called at start and then whenever its look_in has passed
 
     // Derived figures.
     std::vector<Traffic> traffic;
-    double p = 1, kb_per_us = 0;
+    double kb_per_us = 0;
+    double p() const;  // of the shield
     double edge_sharers = 1, parent_sharers = 1;
+    double heard = 1;  // routers of the location whose counts are told here, this one included
 
     // What has been observed.
     Random chance;
@@ -268,6 +292,7 @@
 CacheId pick_source(Router& router, const Held& held, Micros now);
 Server* pick_cache(Router& router, const Held& held, Micros now);
 Micros oldest_allowed(const Router& router, const LookupFacts& lookup, Micros now);
+double whole_cold_budget(const Bounds& site, bool parent, double link, Micros age);
 bool within_cold_budget(const Router& router, const Server& server, double work, Micros now);
 double silence(const Server& server, Micros now);
 const char* complaint(const Router& router, const Server& server, Micros now);
--- a/src/node/clock.hpp
+++ b/src/node/clock.hpp
@@ -14,6 +14,11 @@
         auto since = std::chrono::system_clock::now().time_since_epoch();
         return last = later(last, std::chrono::duration_cast<std::chrono::microseconds>(since).count());
     }
+    // For lengths of time alone: it neither jumps nor stands still. Rights of this router end by it.
+    static Micros steady() {
+        auto since = std::chrono::steady_clock::now().time_since_epoch();
+        return std::chrono::duration_cast<std::chrono::microseconds>(since).count();
+    }
     static Micros later(Micros last, Micros read) { return std::max(last, read); }
 
 private:
--- a/src/node/coordinator.cpp
+++ b/src/node/coordinator.cpp
@@ -15,11 +15,12 @@
 }  // namespace
 
 Coordinator::Coordinator(event_base* base, const feed::Address& address, const site::Terms& terms,
-                         std::uint64_t last, Gathered& gathered)
+                         std::uint64_t last, Clock& clock, Gathered& gathered)
     : base(base),
       address(address),
       terms(terms),
       last(last),
+      clock(clock),
       gathered(gathered),
       delay(first_delay),
       silence(base, [this] { lost("silent"); }),
@@ -75,6 +76,7 @@
 
 void Coordinator::take(feed::Event event) {
     if (!up) log::info("coordinator connected, last event {}", last);
+    if (!up) since = clock.now();
     up = true;
     delay = first_delay;
     silence.set(longest_silence);
--- a/src/node/coordinator.hpp
+++ b/src/node/coordinator.hpp
@@ -4,6 +4,7 @@
 #include <memory>
 
 #include "bytes/bytes.hpp"
+#include "node/clock.hpp"
 #include "node/gathered.hpp"
 #include "node/loop.hpp"
 
@@ -12,7 +13,9 @@
 class Coordinator {
 public:
     Coordinator(event_base* base, const feed::Address& address, const site::Terms& terms, std::uint64_t last,
-                Gathered& gathered);
+                Clock& clock, Gathered& gathered);
+    // By the Unix clock: since when events come without a break, 0: they don't.
+    Micros live_since() const { return up ? since : 0; }
     void move_to(const feed::Address& elsewhere);  // between passes of the loop; the numbers go on
 
 private:
@@ -25,9 +28,10 @@
     feed::Address address;
     const site::Terms& terms;
     std::uint64_t last;
+    Clock& clock;
     Gathered& gathered;
     bool up = false, waiting = false;
-    Micros delay;
+    Micros delay, since = 0;
     bytes::Frames frames{feed::longest_frame};
     Timer silence, again;
     std::unique_ptr<Stream> stream;
--- a/src/node/link.cpp
+++ b/src/node/link.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "shared/flaw.hpp"
+
 namespace quillgrade::node {
 
 namespace {
@@ -44,8 +46,12 @@
 
 // Written only now, when the budget is known: it would pass the client's time by what connecting took.
 void Link::ask() {
+    if (errand.good_until > 0) shared::may_stop_here();
     Micros budget = errand.limit - shared.clock.now();
-    if (budget < 1000) {
+    // A right is looked up again here. Guards against what a stopped process, or a connection that came up
+    // late, would send when others hold the right already.
+    bool over = errand.good_until > 0 && Clock::steady() > errand.good_until;
+    if (budget < 1000 || over) {
         finish(Outcome::Moot);
         return;
     }
--- a/src/node/link.hpp
+++ b/src/node/link.hpp
@@ -15,6 +15,7 @@
     LookupId lookup = 0;
     int round = -1;  // -1: a probe
     Micros sent = 0, limit = 0;
+    Micros good_until = 0;  // by the steady clock: not written after that; 0: whenever
 };
 
 class Link {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -45,7 +45,7 @@
       front({base.get(), terms, clock, gathered, false}, launch.room.clients, launch.room.unsent),
       pool(base.get(), terms, clock, gathered, launch.room.caches, launch.room.coming),
       turn(launch, base.get(), gathered, front, pool),
-      coordinator(base.get(), launch.coordinator, terms, launch.known.last, gathered),
+      coordinator(base.get(), launch.coordinator, terms, launch.known.last, clock, gathered),
       rule_site(launch.rule_site()),
       check(base.get(), [this] { check.set(check_every); }) {
     if (plan.rules && !plan.rules->file.empty()) {
@@ -63,6 +63,7 @@
     if (plan.peers) {
         auto all = launch::read_neighbourhood(launch);
         peers = std::make_unique<PeerPort>(base.get(), all, *plan.peers, launch.seed, clock.now());
+        if (plan.shared) sharing = std::make_unique<Sharing>(*peers, *plan.shared, launch, clock, turn);
     }
     auto on_signal = [](evutil_socket_t, short, void* self) { static_cast<Node*>(self)->told_to_leave(); };
     std::signal(SIGPIPE, SIG_IGN);
@@ -101,6 +102,7 @@
     auto now = clock.now();
     for (auto& event : launch.known.events) gathered.emplace_back(event);
     steer(now);
+    if (sharing) sharing->pass(gathered, 0, now);
     turn.take(std::exchange(gathered, {}), now);
     turn.tend(now);
     front.listen(launch.listen);
@@ -118,6 +120,9 @@
     for (auto& value : gathered)
         if (std::holds_alternative<Arrived>(value)) last_arrival = now;
     steer(now);
+    if (sharing) sharing->at(now);
+    if (peers) peers->hear(now);
+    if (sharing) sharing->pass(gathered, coordinator.live_since(), now);
     turn.take(std::exchange(gathered, {}), now);
     if (peers) peers->pass(turn.counts(), now);
     front.sweep();
@@ -142,6 +147,7 @@
     if (phase == Phase::Finishing) front.stop_listening();
     if (phase == Phase::Finishing && steering) steering->stop();
     if (phase == Phase::Over && peers) peers->gone(now);
+    if (phase == Phase::Over && sharing) sharing->say_all();
     if (phase == Phase::Over) log::info("over");
 }
 
@@ -195,7 +201,8 @@
             return of;
         };
         auto before = rest(plan), after = rest(told);
-        if (before.control != after.control || before.store != after.store || before.peers != after.peers)
+        if (before.control != after.control || before.store != after.store || before.peers != after.peers ||
+            before.shared != after.shared)
             log::warning("operators' file: more than 'services' has changed, which wants a restart");
         if (told.rules && !told.rules->file.empty())
             loading.emplace(text_of_file(told.rules->file), rule_site, told.rules->budget);
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -9,6 +9,7 @@
 #include "node/front.hpp"
 #include "node/peer_port.hpp"
 #include "node/pool.hpp"
+#include "node/sharing.hpp"
 #include "node/steering.hpp"
 #include "node/turn.hpp"
 
@@ -59,6 +60,7 @@
     Coordinator coordinator;
     std::unique_ptr<Steering> steering;  // null: off
     std::unique_ptr<PeerPort> peers;     // null: off
+    std::unique_ptr<Sharing> sharing;    // null: off
     const route::Site rule_site;
     std::shared_ptr<const route::RuleSet> file_rules;  // of the operators' file
     std::optional<route::Loader> loading;              // the same, read again
--- a/src/node/peer_port.cpp
+++ b/src/node/peer_port.cpp
@@ -95,9 +95,12 @@
     }
 }
 
-void PeerPort::pass(const version::Counts& counts, Micros now) {
+void PeerPort::hear(Micros now) {
     for (auto& [from, bytes] : came) view.hear(from, bytes, now);
     came.clear();
+}
+
+void PeerPort::pass(const version::Counts& counts, Micros now) {
     view.ill(fitness.told(counts.ended, counts.bad, now));
     if (now >= view.due()) view.pass(now);
     send_and_say(now);
--- a/src/node/peer_port.hpp
+++ b/src/node/peer_port.hpp
@@ -25,11 +25,13 @@
     PeerPort(const PeerPort&) = delete;
     PeerPort& operator=(const PeerPort&) = delete;
 
-    // Once a pass of the loop: what came is heard, what is due is done, what has changed is logged.
+    // Once a pass of the loop, before the turn: what came is heard. After it: what is due is done, and what
+    // has changed is logged.
+    void hear(Micros now);
     void pass(const version::Counts& counts, Micros now);
     void leave(Micros now);  // SIGTERM has come
     void gone(Micros now);   // the last call
-    const peers::Circle& circle() const { return view; }
+    peers::Circle& circle() { return view; }
 
 private:
     void readable();
--- /dev/null
+++ b/src/node/sharing.cpp
@@ -0,0 +1,91 @@
+#include "node/sharing.hpp"
+
+#include <utility>
+
+#include "log/log.hpp"
+
+namespace quillgrade::node {
+
+namespace {
+
+constexpr Micros say_every = 10'000'000;
+
+shared::Terms terms_of(const operate::Sharing& plan, const launch::Launch& launch, Clock& clock) {
+    shared::Terms terms;
+    terms.parts = {plan.facts, plan.rights, plan.judgements, plan.counts};
+    terms.site = launch.facts;
+    terms.owners = plan.owners;
+    terms.loan = plan.loan;
+    terms.now = {clock.now(), Clock::steady()};
+    // New with each start, so that no answer to an earlier life's ask is taken for one to this one's.
+    terms.seed = static_cast<std::uint32_t>(launch.seed ^ (launch.seed >> 32)) ^
+                 static_cast<std::uint32_t>(terms.now.unix);
+    return terms;
+}
+
+}  // namespace
+
+Sharing::Sharing(PeerPort& peers, const operate::Sharing& plan, const launch::Launch& launch, Clock& clock,
+                 Turn& turn)
+    : peers(peers), turn(turn), exchange(peers.circle(), terms_of(plan, launch, clock)) {
+    turn.share(&exchange);
+    std::string parts;
+    for (auto& [on, name] : {std::pair(plan.facts, "facts"), std::pair(plan.rights, "rights"),
+                             std::pair(plan.judgements, "judgements"), std::pair(plan.counts, "counts")})
+        if (on) parts += std::string(parts.empty() ? "" : ", ") + name;
+    log::info("shared: {}", parts.empty() ? "nothing" : parts);
+    if (plan.rights && !launch.facts.ratings_are_links)
+        log::warning("shared: the settings state no links, so each router goes by its own cold budgets");
+}
+
+Sharing::~Sharing() { turn.share(nullptr); }
+
+void Sharing::at(Micros now) { exchange.at({now, Clock::steady()}); }
+
+void Sharing::pass(Gathered& batch, Micros live, Micros now) {
+    shared::Times times{now, Clock::steady()};
+    for (auto& value : batch) {
+        auto* event = std::get_if<feed::Event>(&value);
+        if (!event) continue;
+        if (auto* listing = std::get_if<feed::Listing>(&event->what))
+            *listing = exchange.listed(std::move(*listing), times);
+        else if (auto* purge = std::get_if<feed::PurgeNotice>(&event->what))
+            exchange.purged(*purge, times);
+    }
+    auto changes = exchange.pass(live, times);
+    say(changes, now);
+    if (!changes.listing.caches.empty()) batch.emplace_back(feed::Event{0, std::move(changes.listing)});
+    for (auto& purge : changes.purges) batch.emplace_back(feed::Event{0, purge});
+}
+
+void Sharing::say(const shared::Facts::Changes& changes, Micros now) {
+    for (auto& endpoint : changes.listing.caches)
+        log::info("shared: cache {} {}", endpoint.entry.id,
+                  endpoint.entry.listed == Listed::Ready ? "is open again, as the own list has it"
+                                                         : "is closed, as others have heard");
+    for (auto id : changes.reopened) log::info("shared: cache {} is open again, it was started anew", id);
+    if (!changes.purges.empty()) log::info("shared: {} purges heard from others", changes.purges.size());
+    if (now < say_at) return;
+    say_at = now + say_every;
+    shared::Times times{now, Clock::steady()};
+    bool differ = exchange.others_differ(times);
+    if (differ && !told_differ)
+        log::warning(
+            "shared: other routers go by other amounts for rights, nothing is lent to them or borrowed");
+    told_differ = differ;
+    auto& seen = exchange.figures();
+    if (seen.malformed != told_malformed) log::warning("shared: {} malformed so far", seen.malformed);
+    told_malformed = seen.malformed;
+}
+
+void Sharing::say_all() {
+    auto& seen = exchange.figures();
+    auto& rights = exchange.rights_figures();
+    log::info(
+        "shared: {} bytes, {} facts, {} complaints, {} counts heard; {} asks, {} loans taken, {} given, {} "
+        "renewed",
+        seen.cargo_bytes, seen.facts_heard, seen.complaints_heard, seen.counts_heard, rights.asked,
+        rights.borrowed, rights.granted, rights.renewed);
+}
+
+}  // namespace quillgrade::node
--- a/src/node/turn.cpp
+++ b/src/node/turn.cpp
@@ -20,7 +20,10 @@
 
 void Turn::take(Gathered batch, Micros reading) {
     now = reading;
+    until.clear();
+    if (exchange) look_up_rights();
     for (auto& value : batch) std::visit([this](auto& known) { tell(known); }, value);
+    if (exchange) settle_rights();
     for (auto& one : answers) carry_out(one);
     answers.clear();
     for (auto cache : probes)
@@ -40,6 +43,8 @@
     if (routes) narrow(arrived, facts);
     if (leave_by) facts.due = std::min(facts.due, *leave_by);
     facts.write = router.traffic[facts.traffic].write;
+    if (exchange && facts.part == 0 && !facts.write)
+        facts.elsewhere = exchange->asked(facts.object, {now, steady});
     auto id = facts.id;
     open.try_emplace(id, arrived.caller, facts, std::move(arrived.lookup.have),
                      std::move(arrived.lookup.body), now, base,
@@ -84,7 +89,10 @@
         for (auto& endpoint : listing->caches) entries.push_back(endpoint.entry);
         pool.list(*listing);
         if (routes) routes->list(*listing);
+        // A right is there from the first moment on.
+        if (exchange) settle_rights();
         router.list(entries, listing->complete, now);
+        if (exchange) look_up_rights();
     } else if (auto* purge = std::get_if<feed::PurgeNotice>(&event.what)) {
         router.purged(purge->object, purge->group, std::max<Micros>(0, now - purge->at), now);
     }
@@ -140,8 +148,54 @@
     ends.bad += bad;
 }
 
+// What all routers together may send to servers that have just started, as far as it is this one's now.
+void Turn::look_up_rights() {
+    steady = Clock::steady();
+    for (auto id : lent)
+        if (auto* server = find_server(router, id)) server->right = -1;
+    lent = exchange->young();
+    for (auto id : lent)
+        if (auto* server = find_server(router, id)) server->right = exchange->right(id, {now, steady});
+    router.heard = exchange->heard_routers();
+}
+
+// What the module has used of it in this turn, and what it would have used.
+void Turn::settle_rights() {
+    shared::Times times{now, steady};
+    for (auto id : lent) {
+        auto* server = find_server(router, id);
+        if (!server || server->right < 0) continue;
+        double used = exchange->right(id, times) - server->right;
+        if (used > 0) until[id] = exchange->use(id, used, now, times);
+        exchange->missed(id, std::exchange(server->wanted, 0) - std::max(0.0, used), server->wanted_once,
+                         times);
+        for (auto& one : server->returned) exchange->give_back(id, one.value, one.at, times);
+        server->returned.clear();
+    }
+}
+
+Micros Turn::good_until(const Transmission& order) const {
+    Micros good = 0;
+    for (auto id : {order.cache, order.source})
+        if (auto found = until.find(id); found != until.end())
+            good = good == 0 ? found->second : std::min(good, found->second);
+    return good;
+}
+
+// What others say of servers goes to the module, and what it holds against them goes to others.
+void Turn::weigh_opinions() {
+    for (auto id : spoken_of)
+        if (auto* server = find_server(router, id)) server->hearsay = {};
+    spoken_of = exchange->named();
+    for (auto id : spoken_of)
+        if (auto* server = find_server(router, id))
+            server->hearsay = exchange->hearsay(id, server->started, {now, steady});
+    if (tends++ % 3 == 0) exchange->witnessed(router.witnessed(now), router.measured(now), {now, steady});
+}
+
 void Turn::tend(Micros reading) {
     now = reading;
+    if (exchange) weigh_opinions();
     auto answer = router.tend(now);
     probes.insert(probes.end(), answer.probe.begin(), answer.probe.end());
     for (auto& line : answer.log) log::info("{}", line);
@@ -186,7 +240,7 @@
         gathered.emplace_back(Landed{lookup.facts.id, round, order.cache, Outcome::Moot, now, {}});
         return;
     }
-    pool.send(order.cache, {lookup.facts.id, round, now, limit},
+    pool.send(order.cache, {lookup.facts.id, round, now, limit, good_until(order)},
               http::transmission(lookup.facts, order, terms.traffic[lookup.facts.traffic], lookup.have,
                                  lookup.body));
 }
--- a/src/node/turn.hpp
+++ b/src/node/turn.hpp
@@ -11,6 +11,7 @@
 #include "node/front.hpp"
 #include "node/pool.hpp"
 #include "route/live.hpp"
+#include "shared/exchange.hpp"
 #include "version/trial.hpp"
 
 namespace quillgrade::node {
@@ -18,6 +19,7 @@
 class Turn {
 public:
     Turn(const launch::Launch& launch, event_base* base, Gathered& gathered, Front& front, Pool& pool);
+    void share(shared::Exchange* with) { exchange = with; }  // null: nothing is shared
     void take(Gathered batch, Micros now);
     void tend(Micros now);
     void leave(Micros by) { leave_by = by; }  // lookups taken from now on are answered by then
@@ -64,6 +66,10 @@
     void tell(std::shared_ptr<const route::RuleSet>& rules);
     void narrow(const Arrived& arrived, LookupFacts& facts);
     void count(bool bad);
+    void look_up_rights();
+    void settle_rights();
+    void weigh_opinions();
+    Micros good_until(const Transmission& order) const;
     void made(Made one);
     void carry_out(Made& made);
     void send(Open& lookup, const Transmission& order);
@@ -83,7 +89,11 @@
     std::optional<route::Live> routes;  // once there have been rules
     std::vector<thrift::Wanted> wanted;
     version::Counts ends;
-    Micros now = 0;
+    shared::Exchange* exchange = nullptr;
+    std::vector<CacheId> lent, spoken_of;       // servers that were given a right, or a hearsay
+    std::unordered_map<CacheId, Micros> until;  // of the rights that this turn has used
+    int tends = 0;
+    Micros now = 0, steady = 0;
     Timer upkeep;
 };
 
--- a/src/operate/plan.cpp
+++ b/src/operate/plan.cpp
@@ -193,6 +193,25 @@
         members.fault("gap_ms", "it is over one and a half periods: pauses would pass for others' silence");
 }
 
+void read_shared(Members& members, Sharing& shared) {
+    members.yes_or_no("facts", shared.facts);
+    members.yes_or_no("judgements", shared.judgements);
+    members.yes_or_no("counts", shared.counts);
+    auto* told = members.find("rights");
+    if (!told) return;
+    if (told->is_boolean()) {
+        shared.rights = told->get<bool>();
+        return;
+    }
+    auto rights = members.inner("rights", *told);
+    double owners = shared.owners, loan = static_cast<double>(shared.loan) / 1000;
+    rights.number("owners", owners, 1, 64);
+    if (owners != static_cast<int>(owners)) rights.fault("owners", "a whole number is expected");
+    rights.number("loan_ms", loan, 200, 10'000);
+    shared.owners = static_cast<int>(owners);
+    shared.loan = static_cast<Micros>(loan * 1000);
+}
+
 std::string line_of(std::string_view text, std::size_t byte) {
     auto before = text.substr(0, std::min(byte > 0 ? byte - 1 : 0, text.size()));
     auto line = std::count(before.begin(), before.end(), '\n') + 1;
@@ -248,6 +267,11 @@
         auto inner = members.inner("peers", *peers);
         read_peers(inner, read.plan.peers.emplace());
     }
+    if (auto* shared = members.find("shared")) {
+        auto inner = members.inner("shared", *shared);
+        read_shared(inner, read.plan.shared.emplace());
+        if (!read.plan.peers) members.fault("shared", "it needs 'peers', over which the routers talk");
+    }
     return read;
 }
 
--- a/src/operate/plan.hpp
+++ b/src/operate/plan.hpp
@@ -56,11 +56,20 @@
     bool operator==(const Neighbours&) const = default;
 };
 
+// What the routers of the tier share, on top of `peers` (docs/shared-state.md).
+struct Sharing {
+    bool facts = true, rights = true, judgements = true, counts = true;
+    int owners = 4;           // of a starting server's budget, 1 to 64; all routers need the same
+    Micros loan = 3'000'000;  // 200 ms to 10 s; all routers need the same
+    bool operator==(const Sharing&) const = default;
+};
+
 struct Plan {
     std::optional<Control> control;
     std::optional<Store> store;
     std::optional<RuleFile> rules;
     std::optional<Neighbours> peers;
+    std::optional<Sharing> shared;  // only with peers
 };
 
 struct Fault {
--- a/src/peers/circle.cpp
+++ b/src/peers/circle.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t most_forced = 3;  // accounts that are told whatever they cost
 constexpr std::uint32_t most_incarnation = (1u << 27) - 1;
 constexpr std::size_t most_changes = 10'000;
+constexpr std::size_t least_cargo = 12, cargo_tag = 4;  // bytes worth loading; field, length
+constexpr double own_datagram = 110;  // bytes that one for the passenger's sake needs at least
 
 std::uint32_t hash_of(const Standing& s, Number who, std::uint32_t so_far) {
     std::uint64_t words[2] = {s.life, (static_cast<std::uint64_t>(who) << 48) |
@@ -33,6 +35,7 @@
         case Need::Probe:
             return 0;
         case Need::Answer:
+        case Need::Insist:
             return 0.1;
         case Need::Errand:
             return 0.15;
@@ -169,6 +172,8 @@
     take(Account{message.from, message.self}, message.from, now);
     if (hearings.heard(message.from, now)) note_cut(message.from, number, false, message.from, now);
 
+    if (passenger && !message.cargo.empty())
+        passenger->unload(message.from, message.self.life, message.cargo, now);
     for (auto& account : message.accounts) take(account, message.from, now);
     for (auto& one : message.accusations) {
         // It goes with an account in the same datagram, and about what is known here as the same.
@@ -305,6 +310,7 @@
         hearings.expire(now);
         expire_at = now + 1000 * ms;
     }
+    passenger_waits = false;  // it says so again, each time before this
     awareness.promise(due());
 }
 
@@ -355,7 +361,7 @@
         Message ping;
         ping.kind = Kind::Ping;
         ping.probe = probe.number;
-        probe.starved |= !send(probe.target, ping, Need::Answer, now);
+        probe.starved |= !send(probe.target, ping, Need::Insist, now);
     }
     if (probe.steps++ == 0 || flawed(Flaw::NoIndirect)) return;
     for (auto helper : pick(static_cast<std::size_t>(probe.steps < 4 ? 1 : rates.helpers), probe.target)) {
@@ -364,7 +370,7 @@
         ask.probe = probe.number;
         ask.about = probe.target;
         // Those asked later have no time to say no.
-        bool sent = send(helper, ask, Need::Answer, now);
+        bool sent = send(helper, ask, Need::Insist, now);
         probe.starved |= !sent;
         if (sent && probe.steps <= 3) probe.helpers++;
     }
@@ -372,10 +378,11 @@
 
 // Up to `most` that are alive here, can be talked with both ways, and can talk with `but` as far as is known,
 // drawn at random, of as many zones as can be.
-std::vector<Number> Circle::pick(std::size_t most, Number but) {
+std::vector<Number> Circle::pick(std::size_t most, Number but, int in_zone) {
     std::vector<Number> able;
     for (Number who = 0; who < routers(); who++)
         if (who != number && who != but && at(who).state == State::Alive && !hearings.cut(number, who) &&
+            (in_zone < 0 || at(who).zone == in_zone) &&
             (but < 0 || (!hearings.cut(who, but) && !hearings.cut(but, who))))
             able.push_back(who);
     std::vector<Number> picked;
@@ -626,9 +633,14 @@
 // ---- sending
 
 // What is left of the datagram carries news: first what is held against the receiver, so that it can answer.
-bool Circle::send(Number to, Message message, Need need_of, Micros now, const std::vector<Account>& first) {
+bool Circle::send(Number to, Message message, Need need_of, Micros now, const std::vector<Account>& first,
+                  bool for_passenger) {
     auto left = allowance.left(now) / rates.bytes_per_s;
-    if (to == number || left <= kept_back(need_of)) {
+    // Guards against probes that use up all bytes where nobody is heard, so that others never hear what this
+    // router alone was told.
+    auto saved_up =
+        passenger_waits && !for_passenger && need_of >= Need::Insist ? own_datagram / rates.bytes_per_s : 0;
+    if (to == number || left <= kept_back(need_of) + saved_up) {
         seen.held_back++;
         return false;
     }
@@ -690,6 +702,15 @@
         });
         bytes = encode(message);
     }
+    if (passenger && bytes.size() + cargo_tag + least_cargo <= longest) {
+        auto keep = passenger_waits ? 0 : kept_back(for_passenger ? need_of : Need::News);
+        auto spare = std::max(0.0, (left - keep) * rates.bytes_per_s - static_cast<double>(bytes.size()));
+        auto free = std::min(longest - bytes.size() - cargo_tag, static_cast<std::size_t>(spare));
+        if (free >= least_cargo) message.cargo = passenger->load(to, free, now);
+        if (message.cargo.size() > free) message.cargo.clear();
+        seen.cargo_bytes += message.cargo.size();
+        if (!message.cargo.empty()) bytes = encode(message);
+    }
     allowance.spend(bytes.size());
     seen.sent++;
     seen.bytes_sent += bytes.size();
@@ -697,6 +718,36 @@
     return true;
 }
 
+bool Circle::tell(Number to, bool urgent, Micros now) {
+    Message news;
+    news.kind = Kind::News;
+    auto need = urgent ? Need::Errand : Need::Spare;
+    // Guards against datagrams that have no room for what they are sent for.
+    bool enough = allowance.left(now) - kept_back(need) * rates.bytes_per_s >= own_datagram;
+    if (!enough) return false;
+    return send(to, news, need, now, {}, true);
+}
+
+bool Circle::tell(std::size_t most, int in_zone, bool urgent, Micros now) {
+    auto to = pick(most, -1, in_zone);
+    // Who hears nobody may still be heard: it speaks to those that were there last.
+    for (Number step = 1; to.empty() && step < routers(); step++) {
+        auto who =
+            (number + static_cast<Number>(chance() % static_cast<unsigned>(routers())) + step) % routers();
+        auto state = at(who).state;
+        if (who != number && (state == State::Silent || state == State::Suspected || state == State::Dead))
+            to.push_back(who);
+    }
+    bool sent = false;
+    for (auto who : to) sent |= tell(who, urgent, now);
+    passenger_waits = urgent && !sent;
+    return sent;
+}
+
+double Circle::spare(Micros now) {
+    return std::max(0.0, allowance.left(now) - kept_back(Need::Spare) * rates.bytes_per_s);
+}
+
 // ---- what the router says of itself
 
 void Circle::leave(Micros now) {
--- a/src/peers/circle.hpp
+++ b/src/peers/circle.hpp
@@ -109,7 +109,18 @@
     std::string bytes;
 };
 
+// What rides along on datagrams that are sent anyway, in room that the membership leaves.
+class Passenger {
+public:
+    virtual ~Passenger() = default;
+    // At most `room` bytes for `to`, which are then sent once; empty: nothing.
+    virtual std::string load(Number to, std::size_t room, Micros now) = 0;
+    // What rode along and has come, before what it came with is answered. `life` is the sender's.
+    virtual void unload(Number from, Life life, std::string_view bytes, Micros now) = 0;
+};
+
 struct Figures {
+    std::uint64_t cargo_bytes = 0;
     std::uint64_t sent = 0, bytes_sent = 0, heard = 0, held_back = 0, away = 0, refuted = 0, accused = 0;
     std::array<std::uint64_t, static_cast<std::size_t>(Dropped::Last)> dropped{};
 };
@@ -133,8 +144,21 @@
         return std::exchange(health_news, {});
     }  // who says it is ill, or well again
 
+    // Null: nobody rides. It has to outlive the circle, or be taken off.
+    void carry(Passenger* rider) { passenger = rider; }
+    // Datagrams for the passenger's sake, to `most` routers that are alive and can be talked with, of
+    // `in_zone` where that is not -1. False where the bytes for that are used up. Urgent ones may take what
+    // answers may.
+    bool tell(std::size_t most, int in_zone, bool urgent, Micros now);
+    bool tell(Number to, bool urgent, Micros now);
+    // Bytes that may be sent for the passenger's sake now.
+    double spare(Micros now);
+
     View view(Number who, Micros now) const;
     State state(Number who) const;
+    int zone_of(Number who) const { return at(who).zone; }  // -1: not heard yet
+    int own_zone() const { return zone; }
+    Number number_of_self() const { return number; }
     Counts counts() const;
     std::vector<Hearing> cuts() const { return hearings.cuts(); }
     const Standing& self() const { return me; }
@@ -166,7 +190,7 @@
 
     // In order: what others make this router send never takes the bytes of its own probes, nor news those of
     // answers.
-    enum class Need { Probe, Answer, Errand, News, Spare };
+    enum class Need { Probe, Answer, Insist, Errand, News, Spare };
     static double kept_back(Need need);
 
     void arrive(Micros now);
@@ -195,8 +219,9 @@
     void end_probe(const Probe& probe, Micros now);
     void look_again(Micros now);
     void send_digest(Micros now);
-    std::vector<Number> pick(std::size_t most, Number but);
-    bool send(Number to, Message message, Need need, Micros now, const std::vector<Account>& first = {});
+    std::vector<Number> pick(std::size_t most, Number but, int in_zone = -1);
+    bool send(Number to, Message message, Need need, Micros now, const std::vector<Account>& first = {},
+              bool for_passenger = false);
     Member& at(Number who) { return members[static_cast<std::size_t>(who)]; }
     const Member& at(Number who) const { return members[static_cast<std::size_t>(who)]; }
 
@@ -218,6 +243,8 @@
     std::vector<Change> changed;
     std::vector<Hearing> cut_news;
     std::vector<Health> health_news;
+    Passenger* passenger = nullptr;
+    bool passenger_waits = false;  // it has something urgent, and the bytes for it have to be saved up
     Figures seen;
     std::uint32_t next_probe = 1;
     std::int64_t last_slot = -1;
--- a/src/peers/message.cpp
+++ b/src/peers/message.cpp
@@ -76,6 +76,7 @@
     message.first = static_cast<Number>(wire.first());
     message.hashes.assign(w.hashes().begin(), w.hashes().end());
     if (message.hashes.size() * block > count + block - 1) return {{}, Dropped::OutOfRange};
+    message.cargo = std::move(*wire.mutable_cargo());
     return {std::move(message), Dropped::Last};
 }
 
@@ -108,6 +109,7 @@
     }
     wire.set_first(static_cast<std::uint32_t>(message.first));
     for (auto hash : message.hashes) wire.add_hashes(hash);
+    if (!message.cargo.empty()) wire.set_cargo(message.cargo);
     return wire.SerializeAsString();
 }
 
--- a/src/peers/message.hpp
+++ b/src/peers/message.hpp
@@ -49,6 +49,7 @@
     std::vector<Hearing> hearings;
     Number first = 0;
     std::vector<std::uint32_t> hashes;
+    std::string cargo;  // of the passenger, not looked into here
 };
 
 // Why a datagram was dropped; counted by place.
--- a/src/rig/fleet/fleet.cpp
+++ b/src/rig/fleet/fleet.cpp
@@ -16,6 +16,7 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
+#include "bytes/bytes.hpp"
 #include "rig/fleet/clock_file.hpp"
 
 namespace quillgrade::rig {
@@ -88,10 +89,26 @@
     settings["index"] = router;
     settings["zone"] = zone;
     settings["limits"]["peers"] = true;
+    if (wanted.cold > 0) settings["safety"]["cold"] = settings["family_info"]["parent_cold"] = wanted.cold;
     auto& counts = settings["family_info"]["count_by_zone"];
     for (int i = 0; i <= wanted.zones; i++) counts[static_cast<std::size_t>(i)] = i == 0 ? 0 : wanted.routers;
     for (auto& server : config["known"]["updates"][0]["endpoints"]["servers"])
         server["zone"] = "z" + std::to_string(zone);
+    auto& servers = config["known"]["updates"][0]["endpoints"]["servers"];
+    auto add = [&](std::uint64_t id, const char* kind) {
+        char name[32];
+        std::snprintf(name, sizeof name, "s-%08x", static_cast<unsigned>(id));
+        servers.push_back({{"id", name},
+                           {"addr", "127.0.0.1:" + std::to_string(world.port_of_box(0))},
+                           {"zone", "z0"},
+                           {"kind", kind},
+                           {"cell", 0},
+                           {"state", "in_service"},
+                           {"weight", 4},
+                           {"started_ms", 0}});
+    };
+    for (int i = 0; i < wanted.parents; i++) add(first_parent + static_cast<std::uint64_t>(i), "parent");
+    if (wanted.parents > 0) add(origin, "origin");
     return config.dump();
 }
 
@@ -109,6 +126,7 @@
     one.starts++;
     one.changed = unix_now();
     std::vector<std::pair<std::string, std::string>> environment = wanted.environment;
+    environment.emplace_back("QUILLGRADE_STOP_AT", folder + "/stop" + std::to_string(router));
     if (!wanted.clock.empty()) {
         environment.emplace_back("LD_PRELOAD", wanted.clock);
         environment.emplace_back("QUILLGRADE_CLOCK", one.clock_file);
@@ -173,8 +191,68 @@
 
 void Fleet::lookups(int router, double per_s) {
     auto& at = relay->address(router);
-    world.ask(ntohs(at.sin_port), per_s, 8, 2'000'000, ntohl(at.sin_addr.s_addr));
+    world.ask_also(ntohs(at.sin_port), per_s, 8, 2'000'000, ntohl(at.sin_addr.s_addr));
 }
+
+void Fleet::tell(const Told& server) {
+    bool box = server.id <= static_cast<std::uint64_t>(boxes_of_world);
+    std::string record;
+    bytes::put_number(record, 4, server.id);
+    bytes::put_number(record, 4, 0x7f000001);
+    bytes::put_number(
+        record, 2, static_cast<std::uint64_t>(world.port_of_box(box ? static_cast<int>(server.id) - 1 : 0)));
+    bytes::put_number(record, 1, static_cast<std::uint64_t>(server.state));
+    bytes::put_number(record, 1, box ? 1 : 0);  // the zone: with one zone, all routers are in it
+    bytes::put_number(record, 1, box ? 0 : server.id == origin ? 2 : 1);
+    bytes::put_number(record, 2, 0);
+    bytes::put_number(record, 4, static_cast<std::uint64_t>(server.rating * 1000));
+    bytes::put_number(record, 8, static_cast<std::uint64_t>(server.started_ms));
+    world.tell(++told, 2, record);
+    starts[server.id] = server.started_ms;
+}
+
+std::int64_t Fleet::started_ms(std::uint64_t id) const {
+    auto found = starts.find(id);
+    return found == starts.end() ? 0 : found->second;
+}
+
+Micros Fleet::tell_purge(std::uint64_t object, int group) {
+    auto now = unix_now() / 1000;
+    std::string payload;
+    if (object)
+        bytes::put_number(payload, 8, object);
+    else
+        bytes::put_number(payload, 2, static_cast<std::uint64_t>(group));
+    bytes::put_number(payload, 8, static_cast<std::uint64_t>(now));
+    world.tell(++told, object ? 3 : 4, payload);
+    return now * 1000;
+}
+
+void Fleet::stop_before_write(int router) {
+    std::ofstream(folder + "/stop" + std::to_string(router)) << "once";
+}
+
+void Fleet::call_off_stop(int router) {
+    std::error_code ignored;
+    std::filesystem::remove(folder + "/stop" + std::to_string(router), ignored);
+}
+
+void Fleet::has_stopped(int router) {
+    auto& one = all[static_cast<std::size_t>(router)];
+    one.stopped = true;
+    one.changed = unix_now();
+}
+
+bool Fleet::stopped_itself(int router) const {
+    auto& one = all[static_cast<std::size_t>(router)];
+    if (!one.process) return false;
+    std::ifstream in("/proc/" + std::to_string(one.process->pid()) + "/stat");
+    std::string line;
+    std::getline(in, line);
+    auto end = line.rfind(')');
+    return end != line.npos && end + 2 < line.size() && line[end + 2] == 'T';
+}
+
 Totals Fleet::totals() { return world.totals(); }
 
 void Fleet::read() {
--- a/src/rig/fleet/fleet.hpp
+++ b/src/rig/fleet/fleet.hpp
@@ -32,6 +32,8 @@
         int routers = 3, zones = 1;
         std::uint64_t seed = 1;
         std::string operate;  // the operators' file, its text
+        int parents = 0;      // ids 101, 102, …, and an origin with the id 201
+        Micros cold = 0;      // how long parents and boxes are cold; 0: 3 s
         std::vector<std::pair<std::string, std::string>> environment{};
     };
     explicit Fleet(const Wanted& wanted);
@@ -55,6 +57,25 @@
     void coordinator(int router, bool cut);  // and the coordinator
     // Clients' lookups a second to this router; 0: none any more.
     void lookups(int router, double per_s);
+    World& outside() { return world; }
+    // The coordinator tells all routers that hear it, now: a server's state (0 ready, 1 draining, 2 gone) and
+    // start, Unix milliseconds; a purge.
+    struct Told {
+        std::uint64_t id;
+        int state = 0;
+        std::int64_t started_ms = 0;
+        double rating = 4;
+    };
+    void tell(const Told& server);
+    std::int64_t started_ms(std::uint64_t id) const;     // as told last, 0: never
+    Micros tell_purge(std::uint64_t object, int group);  // gives its time
+    static constexpr std::uint64_t first_parent = 101, origin = 201;
+    // Stops itself right before its next request that needs a right is written (a router built with flaws
+    // only).
+    void stop_before_write(int router);
+    bool stopped_itself(int router) const;
+    void call_off_stop(int router);
+    void has_stopped(int router);  // by itself, as is seen: from now on it counts as stopped
     Totals totals();
     std::vector<Micros> lookup_times() { return world.take_times(); }
     void finish_lookups() { world.finish(); }
@@ -92,6 +113,8 @@
 
     Wanted wanted;
     std::string folder;
+    std::uint64_t told = 1;  // events of the coordinator so far
+    std::map<std::uint64_t, std::int64_t> starts;
     World world;
     std::unique_ptr<Datagrams> relay;
     std::vector<One> all;
--- a/src/rig/fleet/main.cpp
+++ b/src/rig/fleet/main.cpp
@@ -22,7 +22,8 @@
 namespace {
 
 // Each script in a process of its own, so that none shares anything with another.
-int play_all(const char* program, const std::vector<std::string>& scripts, int together) {
+int play_all(const char* program, const std::string& router, const std::vector<std::string>& scripts,
+             int together) {
     int running = 0, failed = 0;
     auto one_ended = [&] {
         int status = 0;
@@ -34,7 +35,7 @@
         std::fflush(nullptr);
         auto child = fork();
         if (child == 0) {
-            execl(program, program, "run", "--quiet", script.c_str(), nullptr);
+            execl(program, program, "run", "--quiet", "--router", router.c_str(), script.c_str(), nullptr);
             _exit(127);
         }
         running++;
@@ -55,19 +56,22 @@
     std::uint64_t seed = 0;
     int times = 1;
     bool quiet = false;
+    std::string logs;
     run->add_option("script", file, "a JSON file, see docs/membership.md")->required();
     run->add_option("--seed", seed, "instead of the script's own");
     run->add_option("--times", times, "how often, with the seed raised by one each time");
     run->add_option("--plot", plot, "draw the time line of views as an SVG");
     run->add_option("--router", programs.router, "the program, if not the one built beside this");
     run->add_flag("--quiet", quiet, "no line a step");
+    run->add_option("--logs", logs, "where a script fails, the routers' logs go to this folder");
     auto* suite = app.add_subcommand("suite", "play several scripts side by side");
     std::vector<std::string> scripts;
     int together = 4;
     suite->add_option("scripts", scripts, "the files")->required();
+    suite->add_option("--router", programs.router, "the program, if not the one built beside this");
     suite->add_option("--together", together, "how many at a time");
     CLI11_PARSE(app, count, words);
-    if (suite->parsed()) return play_all(words[0], scripts, together);
+    if (suite->parsed()) return play_all(words[0], programs.router, scripts, together);
     try {
         std::ifstream in(file, std::ios::binary);
         if (!in) throw std::runtime_error(file + " can't be read");
@@ -87,10 +91,20 @@
                        outcome.detect_ms.empty()
                            ? ""
                            : fmt::format(", a death known to all after {:.0f} ms", outcome.detect_ms.back()));
+            for (auto& budget : outcome.budgets)
+                fmt::print(
+                    "  budget: {} lookups in {} windows, {} over, {:.2f} of it in the fullest, {:.2f} used\n",
+                    budget.lookups, budget.windows, budget.exceeded, budget.most_share, budget.used_share);
+            if (outcome.lookups.asked > 0)
+                fmt::print("  lookups: {} asked, {} handled, {} rejected, {} broken off\n",
+                           outcome.lookups.asked, outcome.lookups.handled, outcome.lookups.rejected,
+                           outcome.lookups.broken_off);
             for (auto& fault : outcome.faults) fmt::print("  {}\n", fault);
             if (!plot.empty() && !rig::draw(outcome, outcome.processes, plot))
                 fmt::print("  no gnuplot, no picture\n");
             failed += !outcome.passed;
+            for (std::size_t r = 0; !logs.empty() && !outcome.passed && r < outcome.logs.size(); r++)
+                std::ofstream(logs + "/" + std::to_string(r) + ".log") << outcome.logs[r];
         }
         return failed ? 1 : 0;
     } catch (const std::exception& error) {
--- a/src/rig/fleet/script.cpp
+++ b/src/rig/fleet/script.cpp
@@ -13,6 +13,8 @@
 #include <set>
 #include <stdexcept>
 
+#include "shared/rights.hpp"
+
 namespace quillgrade::rig {
 
 namespace {
@@ -31,12 +33,19 @@
           chance(static_cast<std::uint32_t>(this->seed)),
           fleet({programs.router, script.value("clocks", false) ? programs.clock : "",
                  script.at("routers").get<int>(), script.value("zones", 1), this->seed,
-                 json{{"peers", script.value("peers", json::object())}}.dump(), programs.environment}) {
+                 operators_file(script), script.value("parents", 0),
+                 static_cast<Micros>(script.value("cold_s", 0.0) * 1e6), programs.environment}) {
         out.begun = unix_now();
         if (script.contains("weather")) weather(script.at("weather"));
         allowance = script.value("peers", json::object()).value("bytes_per_s", 300.0);
     }
 
+    static std::string operators_file(const json& script) {
+        json file{{"peers", script.value("peers", json::object())}};
+        if (script.contains("shared")) file["shared"] = script.at("shared");
+        return file.dump();
+    }
+
     Outcome run() {
         std::set<int> absent;
         if (script.contains("absent")) absent = numbers(script.at("absent"));
@@ -82,6 +91,17 @@
             }
             if (told.contains("as")) sets[told.at("as").get<std::string>()] = all;
         }
+        // Who holds the cold budget of a server's latest start.
+        if (told.is_object() && told.contains("owners_of")) {
+            auto id = told.at("owners_of").get<std::uint64_t>();
+            shared::RightTerms terms;
+            terms.routers = fleet.routers();
+            if (script.contains("shared") && script.at("shared").contains("rights"))
+                terms.owners = script.at("shared").at("rights").value("owners", terms.owners);
+            auto owners =
+                shared::Rights(terms).owners_of(id, static_cast<std::uint64_t>(fleet.started_ms(id)));
+            all.insert(owners.begin(), owners.end());
+        }
         if (told.is_object() && told.contains("zone"))
             for (int i = 0; i < fleet.routers(); i++)
                 if (i % script.value("zones", 1) == told.at("zone").get<int>()) all.insert(i);
@@ -141,6 +161,25 @@
                         }
             }
         }
+        if (what.contains("says"))
+            for (auto observer : by)
+                if (fleet.runs(observer) &&
+                    fleet.log(observer).find(what.at("says").get<std::string>()) == std::string::npos) {
+                    missing = std::to_string(observer) + " has not logged that";
+                    return false;
+                }
+        if (what.contains("reached")) {  // since the step that noted it
+            auto id = what.at("reached").get<std::uint64_t>();
+            if (fleet.outside().seen_at(id).size() < noted[id] + what.value("times", std::size_t{1})) {
+                missing = "too few requests for server " + std::to_string(id);
+                return false;
+            }
+        }
+        if (what.contains("stopped_itself"))
+            if (self_stopped.size() < what.at("stopped_itself").get<std::size_t>()) {
+                missing = "only " + std::to_string(self_stopped.size()) + " have stopped";
+                return false;
+            }
         if (what.contains("ended"))
             for (auto router : numbers(what.at("ended")))
                 if (fleet.started(router)) {
@@ -182,6 +221,11 @@
                 one.at - fleet.changed_at(one.subject) > settled_after)
                 out.verdicts_by_paused++;
         }
+        for (auto router : armed)
+            if (!self_stopped.contains(router) && fleet.stopped_itself(router)) {
+                self_stopped.insert(router);
+                fleet.has_stopped(router);
+            }
         for (int i = 0; i < fleet.routers(); i++)
             if (fleet.exit_code(i) > 0 && !crashed.contains(i)) {
                 crashed.insert(i);
@@ -277,9 +321,38 @@
             for (auto router : numbers(one.at("coordinator").at("of")))
                 fleet.coordinator(router, one.at("coordinator").at("cut"));
         if (one.contains("lookups")) {
-            fleet.lookups(one.at("lookups").at("to"), one.at("lookups").at("per_s"));
+            for (auto router : numbers(one.at("lookups").at("to")))
+                fleet.lookups(router, one.at("lookups").at("per_s"));
             asked = true;
         }
+        if (one.contains("tell"))
+            for (auto& told : one.at("tell").is_array() ? one.at("tell") : json::array({one.at("tell")}))
+                tell(told);
+        if (one.contains("purge")) purge(one.at("purge"));
+        if (one.contains("watch")) watch(one.at("watch"));
+        if (one.contains("note_requests")) {
+            auto id = one.at("note_requests").get<std::uint64_t>();
+            fleet.outside().watch(id);
+            noted[id] = fleet.outside().seen_at(id).size();
+        }
+        if (one.contains("note")) fleet.outside().note(one.at("note"));
+        if (one.contains("objects")) fleet.outside().objects(one.at("objects"));
+        if (one.contains("say"))
+            fleet.outside().say(one.at("say").at("field"),
+                                one.at("say").at("values").get<std::vector<std::string>>());
+        if (one.contains("delay"))
+            fleet.outside().set_delay(one.at("delay").at("box"),
+                                      static_cast<Micros>(one.at("delay").at("ms").get<double>() * 1000));
+        each("stop_before_write", [&](int r) {
+            fleet.stop_before_write(r);
+            armed.insert(r);
+        });
+        if (one.contains("call_off_stops")) {
+            for (auto router : armed) fleet.call_off_stop(router);
+            look();
+            armed.clear();
+            sets["stopped"] = self_stopped;
+        }
         if (one.contains("storm")) {
             auto& told = one.at("storm");
             auto until = unix_now() + static_cast<Micros>(told.at("for_s").get<double>() * 1e6);
@@ -301,6 +374,60 @@
         return true;
     }
 
+    // ---- what the coordinator tells
+    void tell(const json& told) {
+        Fleet::Told server{told.at("id")};
+        auto state = told.value("state", "ready");
+        server.state = state == "gone" ? 2 : state == "draining" ? 1 : 0;
+        server.rating = told.value("rating", 4.0);
+        auto now = unix_now();
+        server.started_ms =
+            told.contains("started_s_ago")
+                ? now / 1000 - static_cast<std::int64_t>(told.at("started_s_ago").get<double>() * 1000)
+                : fleet.started_ms(server.id);
+        fleet.tell(server);
+        auto grace = static_cast<Micros>(told.value("grace_s", 1.0) * 1e6);
+        fleet.outside().forbid_server(server.id, server.state ? now + grace : 0);
+    }
+    void purge(const json& told) {
+        auto object = told.value("object", std::uint64_t{0});
+        auto at = fleet.tell_purge(object, told.value("group", 1));
+        // The settings say that no older copy is left after 6 s.
+        fleet.outside().forbid_older(object, at, at + static_cast<Micros>(told.value("grace_s", 1.0) * 1e6),
+                                     at + 6 * second);
+    }
+    struct Watch {
+        std::uint64_t id;
+        Micros started, until = 0;
+        ColdTerms terms;
+        double least_used = 0;
+    };
+    void watch(const json& told) {
+        Watch watch{
+            told.at("id"), fleet.started_ms(told.at("id")) * 1000, 0, {}, told.value("least_used", 0.0)};
+        if (watch.id < Fleet::first_parent) watch.terms.from = 0.2, watch.terms.multiple = 3;
+        watch.terms.rating = told.value("rating", 4.0);
+        watch.terms.work = static_cast<Micros>(told.value("work_ms", 100.0) * 1000);
+        if (script.contains("cold_s"))
+            watch.terms.cold = static_cast<Micros>(script.at("cold_s").get<double>() * 1e6);
+        watches.push_back(watch);
+        fleet.outside().watch(watch.id);
+    }
+    void judge_budgets() {
+        for (auto& watch : watches) {
+            auto verdict = judge(fleet.outside().seen_at(watch.id), watch.started, unix_now(), watch.terms);
+            out.budgets.push_back(verdict);
+            if (verdict.exceeded > 0)
+                fault("server " + std::to_string(watch.id) + " got up to " +
+                      std::to_string(verdict.most_share) + " of its budget, over it in " +
+                      std::to_string(verdict.exceeded) + " of " + std::to_string(verdict.windows) +
+                      " windows");
+            if (verdict.used_share < watch.least_used)
+                fault("server " + std::to_string(watch.id) + " was let have " +
+                      std::to_string(verdict.used_share) + " of its budget only");
+        }
+    }
+
     bool wait(const json& one) {
         auto limit = static_cast<Micros>(one.at("within_s").get<double>() * 1e6);
         std::string missing;
@@ -319,9 +446,17 @@
         if (asked) {
             fleet.finish_lookups();
             out.lookups = fleet.totals();
-            if (out.lookups.without_one_final > 0)
+            // A router that was killed or stopped owes what it held.
+            if (out.lookups.without_one_final > 0 && !script.value("loses_lookups", false))
                 fault(std::to_string(out.lookups.without_one_final) + " lookups without one final answer");
+            if (out.lookups.late_named > 0)
+                fault(std::to_string(out.lookups.late_named) +
+                      " requests past the grace of a server's drain or end");
+            if (out.lookups.older > 0)
+                fault(std::to_string(out.lookups.older) +
+                      " requests that would take a copy from before a purge");
         }
+        judge_budgets();
         out.datagrams = fleet.datagrams().seen();
         if (out.datagrams.longest > 256)
             fault("a datagram of " + std::to_string(out.datagrams.longest) + " bytes");
@@ -334,6 +469,7 @@
             fault(std::to_string(out.verdicts_by_paused) +
                   " accusations by routers that had just been stopped");
         out.logged = fleet.logged;
+        for (int i = 0; i < fleet.routers(); i++) out.logs.push_back(fleet.log(i));
         out.seconds = static_cast<double>(unix_now() - out.begun) / 1e6;
     }
 
@@ -350,9 +486,11 @@
     std::string now_at;
     std::map<std::string, std::set<int>> sets;
     std::vector<Never> nevers;
+    std::vector<Watch> watches;
+    std::map<std::uint64_t, std::size_t> noted;
     std::vector<Storm> storms;
     std::map<int, Micros> killed_at, woke_at;
-    std::set<int> crashed;
+    std::set<int> crashed, armed, self_stopped;
     Micros whole_since = 1;
     double allowance = 300;
     bool asked = false, lossy = false;
--- a/src/rig/fleet/script.hpp
+++ b/src/rig/fleet/script.hpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "rig/fleet/budget.hpp"
 #include "rig/fleet/fleet.hpp"
 
 namespace quillgrade::rig {
@@ -26,6 +27,9 @@
     std::vector<Logged> logged;
     std::vector<std::pair<Micros, std::string>> said;  // the time line: when which step began
     Micros begun = 0;
+    std::vector<std::string> logs;     // of the routers' last lives
+    std::vector<ColdVerdict> budgets;  // of the servers watched, in order
+    std::vector<double> fact_ms;       // from a drain or purge to each router's log line of it
 };
 
 struct Programs {
--- /dev/null
+++ b/src/rig/partner.hpp
@@ -0,0 +1,103 @@
+// One router of a simulated fleet with all that it shares: a peers::Circle, a shared::Exchange on it, and
+// lookups that want cold servers. To be used as the Protocol of rig::Simulated. What it sends is noted for
+// the onlooker, with the true time; it knows only its own clocks.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "rig/simulated.hpp"
+#include "shared/exchange.hpp"
+
+namespace quillgrade::rig {
+
+// The settings of a small tier, as a router reads them.
+inline Bounds shared_site() {
+    Bounds site;
+    site.parent_kind = 1;
+    site.origin_kind = 2;
+    site.zone = 0;
+    site.ratings_are_links = true;
+    site.cold_from = 0.2;
+    site.cold_multiple = 3;
+    site.parent_cold_from = 0.1;
+    site.parent_multiple = 2;
+    site.cold = site.parent_cold = 10'000'000;
+    site.cold_window = 1'000'000;
+    site.purge_done = 6'000'000;
+    return site;
+}
+
+// What all partners of one simulation are made with.
+struct PartnerTerms {
+    shared::Terms exchange{};
+    std::function<Micros()> steady;  // true lengths of time; a stopped router's goes on, as a machine's does
+};
+inline PartnerTerms& partner_terms() {
+    static PartnerTerms terms;
+    return terms;
+}
+
+class Partner {
+public:
+    explicit Partner(const peers::Start& start) : circle_(std::make_unique<peers::Circle>(start)) {
+        auto terms = partner_terms().exchange;
+        terms.now = {start.now, partner_terms().steady()};
+        terms.seed = static_cast<std::uint32_t>(start.seed);
+        exchange_ = std::make_unique<shared::Exchange>(*circle_, terms);
+    }
+    shared::Times times(peers::Micros unix) const { return {unix, partner_terms().steady()}; }
+
+    void hear(peers::Number from, std::string_view datagram, peers::Micros now) {
+        exchange_->at(times(now));
+        circle_->hear(from, datagram, now);
+        share(now);
+    }
+    void pass(peers::Micros now) {
+        exchange_->at(times(now));
+        circle_->pass(now);
+        share(now);
+    }
+    void share(peers::Micros now) {
+        auto changes = exchange_->pass(live, times(now));
+        closed += changes.closed;
+        opened += changes.opened;
+        for (auto& endpoint : changes.listing.caches) changed.push_back(endpoint);
+        for (auto& purge : changes.purges) purges.push_back(purge);
+    }
+    peers::Micros due() const { return circle_->due(); }
+    void leave(peers::Micros now) { circle_->leave(now); }
+    void gone(peers::Micros now) { circle_->gone(now); }
+    std::vector<peers::Outgoing> outgoing() { return circle_->outgoing(); }
+    std::vector<peers::Change> changes() { return circle_->changes(); }
+    const peers::Figures& figures() const { return circle_->figures(); }
+
+    peers::Circle& circle() { return *circle_; }
+    shared::Exchange& exchange() { return *exchange_; }
+
+    // A lookup that wants `work` of a cold server. Until when, by the steady clock, it may be written; 0:
+    // there is no right.
+    Micros want(CacheId server, double work, peers::Micros now) {
+        auto t = times(now);
+        auto right = exchange_->right(server, t);
+        if (right < work - 0.5) {
+            exchange_->missed(server, work, work, t);
+            return 0;
+        }
+        return exchange_->use(server, work, now, t);
+    }
+
+    Micros live = 1;  // since when it hears its coordinator, 0: it doesn't
+    int closed = 0, opened = 0;
+    std::vector<feed::Endpoint> changed;
+    std::vector<feed::PurgeNotice> purges;
+
+private:
+    std::unique_ptr<peers::Circle> circle_;
+    std::unique_ptr<shared::Exchange> exchange_;
+};
+
+using SharedFleet = Simulated<Partner>;
+
+}  // namespace quillgrade::rig
--- a/src/rig/simulated.hpp
+++ b/src/rig/simulated.hpp
@@ -119,6 +119,11 @@
         if (router(who).protocol) add(sum, router(who).protocol->figures());
         return sum;
     }
+    // Something else that happens to a router in its own loop; what it sends then is sent.
+    template <class What>
+    void visit(int who, What what) {
+        if (runs(who)) act(who, what);
+    }
     std::uint64_t delivered = 0;
 
     std::function<void(int observer, const peers::Change&)> on_change;
--- a/src/rig/world.cpp
+++ b/src/rig/world.cpp
@@ -13,6 +13,7 @@
 #include <atomic>
 #include <chrono>
 #include <cmath>
+#include <cstdlib>
 #include <future>
 #include <list>
 #include <mutex>
@@ -86,7 +87,7 @@
 struct World::Inner {
     struct Box {
         Inner* world;
-        int port = 0;
+        int port = 0, place = 0;
         Micros delay, forbidden = 0;
         std::size_t bytes;
         std::uint64_t sends = 0;
@@ -106,8 +107,26 @@
         int finals = 0;
         bool again = false;  // was sent a second time
     };
+    struct Target {  // a router that is asked
+        int port = 0;
+        std::uint32_t host = 0;
+        double per_s = 0, owed = 0;
+        int wanted = 0;
+        Micros wait = 0;
+        std::size_t next_client = 0;
+    };
+    struct Watched {
+        bool noted = false;
+        Micros forbidden = 0;
+        std::vector<Micros> at;
+    };
+    struct Older {
+        std::uint64_t object;
+        Micros at, from, until;
+    };
     struct Client {
         Inner* world;
+        Target* target;
         Owned<bufferevent> buffer;
         std::unordered_map<std::int32_t, std::uint64_t>
             open;            // sequence number to lookup, until its time is up
@@ -133,12 +152,14 @@
     std::list<Client> clients;
     std::unordered_map<std::uint64_t, Lookup> lookups;
     std::uint64_t next_id = 1;
-    std::size_t next_client = 0;
-    std::vector<std::uint64_t> crossed;  // lookups that crossed the close of their connection
-    double per_s = 0, owed = 0;
-    int router_port = 0, wanted = 0;
-    std::uint32_t router_host = 0;
-    Micros wait = 0, last_tick = 0, last_beat = 0;
+    std::vector<std::pair<std::uint64_t, Target*>>
+        crossed;  // lookups that crossed the close of their connection
+    std::list<Target> targets;
+    std::map<std::uint64_t, Watched> watched;  // by the server's id
+    std::vector<Older> olders;
+    std::string told = "HIT";
+    std::uint64_t object_count = 997;
+    Micros last_tick = 0, last_beat = 0;
     std::string field;
     std::vector<std::string> values;
     Totals totals;
@@ -215,6 +236,7 @@
         evbuffer_remove(input, head.data(), head.size());
         {
             std::lock_guard hold(lock);
+            observe(*one.box, head);
             if (one.box->heads.size() < 1000) one.box->heads.push_back(std::move(head));
             totals.sends++;
             one.box->sends++;
@@ -224,10 +246,40 @@
         evtimer_add(one.due.get(), &wait);
     }
 
+    static std::string field_of(const std::string& head, const std::string& name) {
+        auto at = head.find("\r\n" + name + ": ");
+        if (at == head.npos) return "";
+        at += name.size() + 4;
+        return head.substr(at, head.find("\r\n", at) - at);
+    }
+
+    // What the rules forbid, seen from where it arrives.
+    void observe(const Box& box, const std::string& head) {
+        if (head.rfind("GET /data/", 0) != 0) return;
+        auto now = unix_now();
+        auto note = [&](std::uint64_t id) {
+            auto found = watched.find(id);
+            if (found == watched.end()) return;
+            if (found->second.noted) found->second.at.push_back(now);
+            if (found->second.forbidden > 0 && now > found->second.forbidden) totals.late_named++;
+        };
+        note(static_cast<std::uint64_t>(box.place) + 1);
+        auto parent = field_of(head, "X-Parent");
+        if (parent.rfind("s-", 0) == 0) note(std::strtoull(parent.c_str() + 2, nullptr, 16));
+        auto object_at = head.find('/', 10);
+        auto object = object_at == head.npos ? 0 : std::strtoull(head.c_str() + object_at + 1, nullptr, 16);
+        auto fresh = std::strtoll(field_of(head, "X-Fresh-Ms").c_str(), nullptr, 10);
+        for (auto& purge : olders)
+            if ((purge.object == 0 || purge.object == object) && now >= purge.from && now < purge.until &&
+                (fresh == 0 || fresh > (now - purge.at) / 1000 + 1))
+                totals.older++;
+    }
+
     void reply(Served& one) {
         std::string out =
-            "HTTP/1.1 200 OK\r\nX-Tell: HIT\r\nX-Report: inflight:1;x1:0.1\r\nContent-Length: " +
-            std::to_string(one.box->bytes) + "\r\n\r\n" + std::string(one.box->bytes, 'b');
+            "HTTP/1.1 200 OK\r\nX-Tell: " + told +
+            "\r\nX-Report: inflight:1;x1:0.1\r\nContent-Length: " + std::to_string(one.box->bytes) +
+            "\r\n\r\n" + std::string(one.box->bytes, 'b');
         bufferevent_write(one.buffer.get(), out.data(), out.size());
     }
 
@@ -274,10 +326,13 @@
     }
 
     // ---- clients
-    void connect_clients() {
-        while (static_cast<int>(clients.size()) < wanted) {
+    void connect_clients(Target& target) {
+        int have = 0;
+        for (auto& client : clients) have += client.target == &target;
+        for (; have < target.wanted; have++) {
             auto& client = clients.emplace_back();
             client.world = this;
+            client.target = &target;
             client.buffer.reset(bufferevent_socket_new(base.get(), -1, BEV_OPT_CLOSE_ON_FREE));
             bufferevent_setcb(
                 client.buffer.get(), [](bufferevent*, void* self) { heard(*static_cast<Client*>(self)); },
@@ -288,8 +343,8 @@
                     if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) client.dead = true;
                 },
                 &client);
-            auto address = here(router_port);
-            address.sin_addr.s_addr = htonl(router_host);
+            auto address = here(target.port);
+            address.sin_addr.s_addr = htonl(target.host);
             bufferevent_enable(client.buffer.get(), EV_READ | EV_WRITE);
             bufferevent_socket_connect(client.buffer.get(), reinterpret_cast<sockaddr*>(&address),
                                        sizeof address);
@@ -335,7 +390,7 @@
 
     void ask_one(Client& client, Micros now) {
         auto id = next_id++;
-        lookups[id] = {now, now + wait, 0};
+        lookups[id] = {now, now + client.target->wait, 0};
         totals.asked++;
         send(client, id, now);
     }
@@ -347,7 +402,7 @@
         std::map<std::string, std::string> fields = {{"c", "page"},
                                                      {"i", hex(id * 0x9e3779b97f4a7c15u)},
                                                      {"d", std::to_string((lookups[id].due - now) / 1000)},
-                                                     {"o", hex(1 + id % 997 * 7919)},
+                                                     {"o", hex(1 + id % object_count * 7919)},
                                                      {"part", "0"},
                                                      {"group", "1"},
                                                      {"m", "1"}};
@@ -367,13 +422,34 @@
                 auto& lookup = found->second;
                 if (lookup.finals == 0 && !lookup.again && now - lookup.asked < slack) {
                     lookup.again = true;
-                    crossed.push_back(id);
+                    crossed.emplace_back(id, client.target);
                 }
             }
         }
         clients.remove_if([](auto& client) { return client.dead; });
     }
 
+    void ask_target(Target& target, Micros now) {
+        connect_clients(target);
+        target.owed = std::min(target.owed + target.per_s * static_cast<double>(now - last_tick) / 1e6,
+                               std::max(1.0, target.per_s));
+        std::vector<Client*> up;
+        for (auto& client : clients)
+            if (client.target == &target && client.up && client.unanswered < most_open) up.push_back(&client);
+        if (up.empty()) return;
+        std::lock_guard hold(lock);
+        auto pick = [&]() -> Client& { return *up[target.next_client++ % up.size()]; };
+        std::erase_if(crossed, [&](auto& one) {
+            if (one.second != &target) return false;
+            send(pick(), one.first, now);
+            return true;
+        });
+        for (; target.owed >= 1 && !up.empty(); target.owed--) {
+            ask_one(pick(), now);
+            std::erase_if(up, [](auto* client) { return client->unanswered >= most_open; });
+        }
+    }
+
     void each_tick() {
         std::vector<std::function<void()>> now_due;
         {
@@ -388,20 +464,8 @@
                 if (feed.asked) beat(feed.buffer.get());
         }
         bury(now);
-        if (per_s > 0) {
-            connect_clients();
-            owed = std::min(owed + per_s * static_cast<double>(now - last_tick) / 1e6, per_s);
-            std::vector<Client*> up;
-            for (auto& client : clients)
-                if (client.up && client.unanswered < most_open) up.push_back(&client);
-            std::lock_guard hold(lock);
-            auto pick = [&]() -> Client& { return *up[next_client++ % up.size()]; };
-            for (; !crossed.empty() && !up.empty(); crossed.pop_back()) send(pick(), crossed.back(), now);
-            for (; owed >= 1 && !up.empty(); owed--) {
-                ask_one(pick(), now);
-                std::erase_if(up, [](auto* client) { return client->unanswered >= most_open; });
-            }
-        }
+        for (auto& target : targets)
+            if (target.per_s > 0) ask_target(target, now);
         last_tick = now;
         judge(now);
         auto again = in(tick);
@@ -464,6 +528,7 @@
             box);
         std::lock_guard hold(inner->lock);
         inner->boxes.push_back(box);
+        box->place = static_cast<int>(inner->boxes.size()) - 1;
         return static_cast<int>(inner->boxes.size()) - 1;
     });
 }
@@ -500,14 +565,57 @@
 
 void World::ask(int router_port, double per_s, int connections, Micros wait, std::uint32_t host) {
     inner->run([&] {
-        if (inner->router_port != router_port || inner->router_host != host) inner->clients.clear();
-        inner->router_host = host;
-        inner->router_port = router_port;
-        inner->per_s = per_s;
-        inner->wanted = connections;
-        inner->wait = wait;
-        inner->owed = 0;
+        for (auto& target : inner->targets)
+            if (target.port != router_port || target.host != host) {
+                target.per_s = 0;
+                inner->clients.remove_if([&](auto& client) { return client.target == &target; });
+            }
     });
+    ask_also(router_port, per_s, connections, wait, host);
+}
+
+void World::ask_also(int router_port, double per_s, int connections, Micros wait, std::uint32_t host) {
+    inner->run([&] {
+        auto found = std::find_if(inner->targets.begin(), inner->targets.end(), [&](auto& target) {
+            return target.port == router_port && target.host == host;
+        });
+        if (found == inner->targets.end()) {
+            found = inner->targets.insert(found, Inner::Target{router_port, host});
+        }
+        found->per_s = per_s;
+        found->wanted = connections;
+        found->wait = wait;
+        found->owed = 0;
+    });
+}
+
+void World::watch(std::uint64_t id) {
+    std::lock_guard hold(inner->lock);
+    inner->watched[id].noted = true;
+}
+
+std::vector<Micros> World::seen_at(std::uint64_t id) const {
+    std::lock_guard hold(inner->lock);
+    auto found = inner->watched.find(id);
+    return found == inner->watched.end() ? std::vector<Micros>{} : found->second.at;
+}
+
+void World::forbid_server(std::uint64_t id, Micros at) {
+    std::lock_guard hold(inner->lock);
+    inner->watched[id].forbidden = at;
+}
+
+void World::forbid_older(std::uint64_t object, Micros at, Micros from, Micros until) {
+    std::lock_guard hold(inner->lock);
+    inner->olders.push_back({object, at, from, until});
+}
+
+void World::note(const std::string& word) {
+    inner->run([&] { inner->told = word; });
+}
+
+void World::objects(std::uint64_t count) {
+    inner->run([&] { inner->object_count = count; });
 }
 
 std::vector<std::string> World::take_heads(int box) {
@@ -523,7 +631,9 @@
 }
 
 void World::finish() {
-    inner->run([&] { inner->per_s = 0; });
+    inner->run([&] {
+        for (auto& target : inner->targets) target.per_s = 0;
+    });
     while (!inner->run([&] { return inner->lookups.empty(); }))
         std::this_thread::sleep_for(std::chrono::milliseconds(5));
 }
--- a/src/rig/world.hpp
+++ b/src/rig/world.hpp
@@ -21,6 +21,8 @@
         0;                         // none in time, or more than one; counted once a lookup's time is up
     std::uint64_t late_sends = 0;  // requests at a box past its grace
     std::uint64_t sends = 0;       // requests at boxes, in all
+    std::uint64_t late_named = 0;  // requests that went to, or named as their source, a server past its grace
+    std::uint64_t older = 0;       // requests that would take a copy from before a purge past its grace
 };
 
 class World {
@@ -35,6 +37,17 @@
     // From `at` on nothing may be sent to it: later requests are counted. 0: allowed again.
     void forbid(int box, Micros at);
     std::uint64_t sends_to(int box) const;
+    // From now on each request that goes to the server of this id, or names it as its source, is noted with
+    // its time. Boxes have the ids 1, 2, …
+    void watch(std::uint64_t id);
+    std::vector<Micros> seen_at(std::uint64_t id) const;
+    // Nothing may go to it or name it after `at`; 0: allowed again.
+    void forbid_server(std::uint64_t id, Micros at);
+    // What was purged at `at`: between `from` and `until` no request may take a copy from before. 0: the
+    // group.
+    void forbid_older(std::uint64_t object, Micros at, Micros from, Micros until);
+    // What boxes say in X-Tell: HIT, or MISS as where the source was asked.
+    void note(const std::string& word);
     std::vector<std::string> take_heads(int box);  // the last thousand requests since it was called last
 
     // The coordinator: events are JSON-free frames, as its protocol has them.
@@ -45,8 +58,12 @@
     // `wait`: a client's patience. 0 per second: none any more.
     void ask(int router_port, double per_s, int connections = 8, Micros wait = 2'000'000,
              std::uint32_t host = 0x7f000001);
+    // The same beside the others that are asked already; 0 per second: that one no more.
+    void ask_also(int router_port, double per_s, int connections, Micros wait, std::uint32_t host);
     // A field that clients tell, its values in turn; none: it is not told.
     void say(const std::string& field, const std::vector<std::string>& values);
+    // Objects are asked for in turn from so many; 997 at first.
+    void objects(std::uint64_t count);
     // No new lookups; returns once the time of all that are out is up.
     void finish();
     Totals totals() const;
--- /dev/null
+++ b/src/shared/cargo.hpp
@@ -0,0 +1,39 @@
+// What rides on one datagram, as typed values: read with every number checked, written within the room there
+// is. No I/O.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "shared/facts.hpp"
+#include "shared/opinions.hpp"
+#include "shared/rights.hpp"
+#include "shared/tally.hpp"
+
+namespace quillgrade::shared {
+
+struct Load {
+    std::uint32_t terms = 0, digest = 0;
+    std::vector<Fact> facts;
+    std::vector<Ask> asks;
+    std::vector<Grant> grants;
+    Breadth breadth;
+    std::vector<Complaint> complaints;
+    std::vector<Count> counts;
+};
+
+// Empty where it is malformed or a number is out of range; then all of it is dropped. `now`: Unix
+// microseconds.
+std::optional<Load> decode(std::string_view bytes, Micros now);
+
+// Writes what fits into `room` bytes, in this order: terms and digest, grants, asks, facts, complaints,
+// counts. Each kind in its own order; `fitted` tells how many of each.
+struct Fitted {
+    std::string bytes;
+    std::size_t facts = 0, asks = 0, grants = 0, complaints = 0, counts = 0;
+};
+Fitted encode(const Load& load, std::size_t room, Micros now);
+
+}  // namespace quillgrade::shared
--- /dev/null
+++ b/src/shared/exchange.cpp
@@ -0,0 +1,294 @@
+#include "shared/exchange.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+
+#include "shared/flaw.hpp"
+
+namespace quillgrade::shared {
+
+namespace {
+
+constexpr Micros ms = 1000, second = 1000 * ms;
+constexpr Micros posted_for = 400 * ms;  // an ask or a grant that found no datagram until then is dropped
+constexpr Micros spare_every = 200 * ms, fresh_complaint = 1500 * ms, differed_for = 10 * second;
+constexpr std::size_t facts_a_datagram = 10, complaints_a_datagram = 4, counts_a_datagram = 12,
+                      most_posted = 8;
+// How far this machine's clock may be ahead of the one that told a server's start.
+constexpr Micros clocks_apart = 250 * ms;
+constexpr double spare_datagram = 120;  // bytes, about
+
+RightTerms right_terms(const peers::Circle& circle, const Terms& terms, Number self) {
+    RightTerms made;
+    made.self = self;
+    made.routers = circle.routers();
+    made.owners = terms.owners;
+    made.window = terms.site.cold_window;
+    made.loan = terms.loan;
+    made.seed = terms.seed;
+    made.now = terms.now.steady;
+    return made;
+}
+
+// Of all that has to be alike for the bound on rights to hold.
+std::uint32_t hash_of(const peers::Circle& circle, const Terms& terms) {
+    auto& site = terms.site;
+    double words[] = {1.0,  // of this form
+                      static_cast<double>(circle.routers()),
+                      static_cast<double>(terms.owners),
+                      static_cast<double>(terms.loan),
+                      site.cold_from,
+                      site.cold_multiple,
+                      site.parent_cold_from,
+                      site.parent_multiple,
+                      static_cast<double>(site.cold),
+                      static_cast<double>(site.cold_window),
+                      static_cast<double>(site.parent_cold)};
+    return std::max(1u, XXH32(words, sizeof words, 0));
+}
+
+}  // namespace
+
+Exchange::Exchange(peers::Circle& circle, const Terms& terms)
+    : circle(circle),
+      terms(terms),
+      hash(hash_of(circle, terms)),
+      facts(terms.site.purge_done, circle.routers()),
+      rights(right_terms(circle, terms, circle.number_of_self())),
+      tally(circle.number_of_self(), circle.routers()),
+      unlike(static_cast<std::size_t>(circle.routers())),
+      last(terms.now) {
+    circle.carry(this);
+}
+
+Exchange::~Exchange() { circle.carry(nullptr); }
+
+// ---- what comes
+
+void Exchange::unload(Number from, Life life, std::string_view bytes, Micros) {
+    auto load = decode(bytes, last.unix);
+    if (load)
+        take(from, life, *load, last);
+    else
+        seen.malformed++;
+}
+
+void Exchange::take(Number from, Life life, const Load& load, const Times& now) {
+    if (terms.parts.facts) {
+        for (auto& fact : load.facts) seen.facts_heard += facts.hear(fact, now.unix);
+        if (load.digest != facts.digest(now.unix)) unlike[static_cast<std::size_t>(from)] = true;
+    }
+    if (terms.parts.rights) {
+        // Guards against two sizes of the whole: who goes by other amounts is neither lent to nor borrowed
+        // from.
+        bool alike = load.terms == hash || flawed(Flaw::OthersTermsIgnored);
+        if (!alike) {
+            seen.other_terms++;
+            differed_at = now.steady;
+        }
+        if (alike)
+            for (auto& ask : load.asks) rights.asked(from, life, ask, now.steady);
+        if (alike)
+            for (auto& grant : load.grants) rights.granted(from, grant, now.steady);
+    }
+    if (terms.parts.judgements && !load.complaints.empty()) {
+        auto view = circle.view(from, now.unix);
+        double standing = view.state == peers::State::Alive && !view.ill ? 1 : 0.25;
+        for (auto& one : load.complaints) {
+            opinions.hear(from, view.zone, standing, load.breadth, one, now.unix);
+            seen.complaints_heard++;
+        }
+    }
+    if (terms.parts.counts)
+        for (auto& one : load.counts) seen.counts_heard += tally.hear(one, now.unix);
+}
+
+// ---- what this router's own sources say
+
+feed::Listing Exchange::listed(feed::Listing told, const Times& now) {
+    last = now;
+    if (terms.parts.rights && terms.site.ratings_are_links) {
+        if (told.complete) cold.clear();
+        for (auto& endpoint : told.caches) {
+            auto& entry = endpoint.entry;
+            auto warm_at = entry.started + (is_parent(entry) ? terms.site.parent_cold : terms.site.cold);
+            if (entry.kind == terms.site.origin_kind || entry.listed == Listed::Gone || entry.started <= 0 ||
+                now.unix >= warm_at)
+                cold.erase(entry.id);
+            else
+                cold[entry.id] = entry;
+        }
+    }
+    return terms.parts.facts ? facts.listed(std::move(told), now.unix) : told;
+}
+
+void Exchange::purged(const feed::PurgeNotice& notice, const Times& now) {
+    if (terms.parts.facts) facts.purged(notice, now.unix);
+}
+
+Facts::Changes Exchange::pass(Micros live, const Times& now) {
+    last = now;
+    if (!cold.empty()) {
+        std::vector<ColdServer> told;
+        std::erase_if(cold, [&](auto& known) {
+            auto& entry = known.second;
+            auto age = now.unix - entry.started;
+            if (age >= (is_parent(entry) ? terms.site.parent_cold : terms.site.cold)) return true;
+            // As it stands at the end of a window: what is used now is weighed against all of the window
+            // before.
+            auto grown = age + terms.site.cold_window - clocks_apart;
+            told.push_back({entry.id, static_cast<std::uint64_t>(entry.started / ms),
+                            whole_cold_budget(terms.site, is_parent(entry), entry.rating, grown)});
+            return false;
+        });
+        if (flawed(Flaw::SeenAlive)) rights.alive(circle.counts().surely);
+        rights.list(told, now.steady);
+        auto there = [&](Number who) {
+            auto state = circle.state(who);
+            return state == peers::State::Alive || state == peers::State::Suspected;
+        };
+        for (auto& [to, grant] : rights.grants(now.steady)) {
+            auto& post = out[to];
+            if (post.grants.size() < most_posted) post.grants.push_back(grant);
+            post.at = now.steady;
+        }
+        for (auto& [to, ask] : rights.asks(there, now.steady)) {
+            auto& post = out[to];
+            if (post.asks.size() < most_posted) post.asks.push_back(ask);
+            post.at = now.steady;
+        }
+    }
+    // Each that is written to has its datagram at once while there are bytes; else it rides on the next one.
+    for (auto post = out.begin(); post != out.end();) {
+        bool empty = post->second.asks.empty() && post->second.grants.empty();
+        if (!empty) circle.tell(post->first, true, now.unix);
+        empty = post->second.asks.empty() && post->second.grants.empty();
+        bool old = now.steady - post->second.at >= posted_for;
+        post = empty || old ? out.erase(post) : std::next(post);
+    }
+    tell_facts(now);
+    if (terms.parts.counts && now.unix >= spare_at && circle.spare(now.unix) > spare_datagram &&
+        tally.news()) {
+        circle.tell(1, circle.own_zone(), false, now.unix);
+        spare_at = now.unix + spare_every;
+    }
+    if (now.unix >= expire_at) {
+        opinions.expire(now.unix);
+        expire_at = now.unix + second / 2;
+    }
+    return terms.parts.facts ? facts.pass(live, now.unix) : Facts::Changes{};
+}
+
+// News of drains and purges does not wait for a probe: three others at once, and each that hears it for the
+// first time does the same, as with news of the membership.
+void Exchange::tell_facts(const Times& now) {
+    if (terms.parts.facts && facts.news()) circle.tell(3, -1, true, now.unix);
+}
+
+// ---- rights
+
+std::vector<CacheId> Exchange::young() const {
+    std::vector<CacheId> all;
+    for (auto& [id, entry] : cold) all.push_back(id);
+    return all;
+}
+
+double Exchange::right(CacheId server, const Times& now) {
+    return cold.contains(server) ? rights.available(server, now.steady) : -1;
+}
+Micros Exchange::use(CacheId server, double work, Micros tag, const Times& now) {
+    return rights.use(server, work, tag, now.steady);
+}
+void Exchange::give_back(CacheId server, double work, Micros tag, const Times& now) {
+    rights.give_back(server, work, tag, now.steady);
+}
+void Exchange::missed(CacheId server, double work, double usual, const Times& now) {
+    rights.missed(server, work, usual, now.steady);
+}
+bool Exchange::others_differ(const Times& now) const {
+    return differed_at > 0 && now.steady - differed_at < differed_for;
+}
+
+// ---- judgements
+
+void Exchange::witnessed(const std::vector<Testimony>& told, int measured, const Times& now) {
+    if (!terms.parts.judgements) return;
+    bool news = false;
+    for (auto& one : told)
+        news |= std::none_of(complaints.begin(), complaints.end(),
+                             [&](auto& known) { return known.server == one.server; });
+    complaints.clear();
+    for (auto& one : told)
+        complaints.push_back(
+            {one.server, static_cast<std::uint32_t>(one.started / ms), one.samples, one.bad, one.slow, 0});
+    breadth = {measured, static_cast<int>(told.size())};
+    complaints_at = now.unix;
+    if (news) circle.tell(3, circle.own_zone(), true, now.unix);
+}
+
+Hearsay Exchange::hearsay(CacheId server, Micros started, const Times& now) const {
+    return opinions.weigh(server, static_cast<std::uint64_t>(started / ms), now.unix);
+}
+
+// ---- counts
+
+int Exchange::asked(ObjectId object, const Times& now) {
+    return terms.parts.counts ? tally.asked(object, now.unix) : 0;
+}
+
+int Exchange::heard_routers() const {
+    if (!terms.parts.counts) return 1;
+    int count = 1;
+    for (Number who = 0; who < circle.routers(); who++)
+        if (who != circle.number_of_self() && circle.state(who) == peers::State::Alive &&
+            circle.zone_of(who) == circle.own_zone())
+            count++;
+    return count;
+}
+
+// ---- what rides along
+
+std::string Exchange::load(Number to, std::size_t room, Micros now) {
+    Load load;
+    load.terms = terms.parts.rights ? hash : 0;
+    load.digest = terms.parts.facts ? facts.digest(now) : 0;
+    auto post = out.find(to);
+    if (post != out.end()) {
+        load.grants = post->second.grants;
+        load.asks = post->second.asks;
+    }
+    auto place = static_cast<std::size_t>(to);
+    std::size_t news = 0;
+    if (terms.parts.facts) {
+        load.facts = facts.next(facts_a_datagram, now);
+        news = load.facts.size();
+        if (unlike[place])
+            for (auto& fact : facts.in_turn(facts_a_datagram - news, now)) load.facts.push_back(fact);
+    }
+    bool neighbour = circle.zone_of(to) == circle.own_zone();
+    if (terms.parts.judgements && now - complaints_at < fresh_complaint)
+        for (std::size_t i = 0; i < std::min(complaints.size(), complaints_a_datagram); i++) {
+            auto one = complaints[(complaint_turn + i) % complaints.size()];
+            one.age = now - complaints_at;
+            load.complaints.push_back(one);
+        }
+    complaint_turn += load.complaints.size();
+    load.breadth = breadth;
+    if (terms.parts.counts && neighbour) load.counts = tally.next(counts_a_datagram, now);
+    auto fitted = encode(load, room, now);
+    for (auto i = fitted.facts; i < news; i++) facts.untold(load.facts[i]);
+    if (fitted.facts == load.facts.size()) unlike[place] = false;
+    for (auto i = fitted.counts; i < load.counts.size(); i++) tally.untold(load.counts[i].name);
+    if (post != out.end()) {
+        auto& asks = post->second.asks;
+        auto& grants = post->second.grants;
+        asks.erase(asks.begin(), asks.begin() + static_cast<std::ptrdiff_t>(fitted.asks));
+        grants.erase(grants.begin(), grants.begin() + static_cast<std::ptrdiff_t>(fitted.grants));
+    }
+    seen.cargo_bytes += fitted.bytes.size();
+    return fitted.bytes;
+}
+
+}  // namespace quillgrade::shared
--- /dev/null
+++ b/src/shared/exchange.hpp
@@ -0,0 +1,120 @@
+// What the routers of a tier share, as one party of it: facts, rights, opinions, counts. It rides on the
+// datagrams of a peers::Circle, is told the time, and gives back values. No clock, socket or thread.
+//
+//     Exchange exchange(circle, terms);
+//     exchange.at(times);                                // before the circle hears what came
+//     listing = exchange.listed(listing, times);         // the own coordinator's lists and purges, before
+//     the module auto changes = exchange.pass(live_since, times);   // what else the module has to be told
+//     server.right = exchange.right(id, times);          // at the start of a turn, for all of young()
+//     auto until = exchange.use(id, work, now, times);   // at its end, for what was decided to be sent
+//
+// What it promises:
+//   - Alone, a router decides as without it, but for cold budgets, see rights.hpp. What is heard closes
+//   servers,
+//     bounds ages, speaks where own samples are too few, and raises counts by what others were truly asked.
+//   - The bounds of facts.hpp, rights.hpp, opinions.hpp and tally.hpp, all in memory set by their `most`.
+//   - It sends nothing by itself but through the circle, so within the circle's bytes a second.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "peers/circle.hpp"
+#include "shared/cargo.hpp"
+
+namespace quillgrade::shared {
+
+struct Times {
+    Micros unix = 0;    // for what is compared between machines: purges, starts, epochs
+    Micros steady = 0;  // for the lengths of loans
+};
+
+struct Parts {
+    bool facts = true, rights = true, judgements = true, counts = true;
+    bool operator==(const Parts&) const = default;
+};
+
+struct Terms {
+    Parts parts{};
+    Bounds site{};  // of the settings
+    int owners = 4;
+    Micros loan = 3'000'000;
+    std::uint32_t seed = 1;
+    Times now{};
+};
+
+class Exchange : public peers::Passenger {
+public:
+    // `circle` outlives this; it carries it from now on.
+    Exchange(peers::Circle& circle, const Terms& terms);
+    ~Exchange() override;
+    Exchange(const Exchange&) = delete;
+    Exchange& operator=(const Exchange&) = delete;
+
+    void at(const Times& now) { last = now; }
+    feed::Listing listed(feed::Listing told, const Times& now);
+    void purged(const feed::PurgeNotice& notice, const Times& now);
+    Facts::Changes pass(Micros live, const Times& now);
+
+    // Servers whose cold budget is shared now.
+    std::vector<CacheId> young() const;
+    double right(CacheId server, const Times& now);  // below 0: its budget is not shared
+    Micros use(CacheId server, double work, Micros tag, const Times& now);
+    void give_back(CacheId server, double work, Micros tag, const Times& now);
+    void missed(CacheId server, double work, double usual, const Times& now);
+
+    // What this router holds against servers, as it stands now.
+    void witnessed(const std::vector<Testimony>& told, int measured, const Times& now);
+    Hearsay hearsay(CacheId server, Micros started, const Times& now) const;
+    std::vector<CacheId> named() const { return opinions.named(); }
+
+    // A first part is asked for: how many other routers of the location were asked for it too.
+    int asked(ObjectId object, const Times& now);
+    int heard_routers() const;  // of the location, this one included
+
+    std::string load(Number to, std::size_t room, Micros now) override;
+    void unload(Number from, Life life, std::string_view bytes, Micros now) override;
+
+    struct Figures {
+        std::uint64_t malformed = 0, other_terms = 0, facts_heard = 0, counts_heard = 0, complaints_heard = 0,
+                      cargo_bytes = 0;
+    };
+    const Figures& figures() const { return seen; }
+    const Rights::Figures& rights_figures() const { return rights.figures(); }
+    Rights::Shares shares(CacheId server, const Times& now) { return rights.shares(server, now.steady); }
+    const Facts& known() const { return facts; }
+    const Tally& counted() const { return tally; }
+    bool others_differ(const Times& now) const;  // routers whose amounts are not the same were heard lately
+
+private:
+    struct Out {
+        std::vector<Ask> asks;
+        std::vector<Grant> grants;
+        Micros at = 0;
+    };
+    void take(Number from, Life life, const Load& load, const Times& now);
+    void tell_facts(const Times& now);
+    bool is_parent(const ListEntry& entry) const { return entry.kind == terms.site.parent_kind; }
+
+    peers::Circle& circle;
+    Terms terms;
+    std::uint32_t hash;
+    Facts facts;
+    Rights rights;
+    Opinions opinions;
+    Tally tally;
+    std::map<CacheId, ListEntry> cold;
+    std::map<CacheId, int> zones;  // of the servers complained of
+    std::vector<Complaint> complaints;
+    Breadth breadth;
+    Micros complaints_at = 0, spare_at = 0, expire_at = 0, differed_at = 0;
+    std::size_t complaint_turn = 0;
+    std::map<Number, Out> out;
+    std::vector<bool> unlike;  // by router: its facts differ from mine
+    Times last{};
+    Figures seen;
+};
+
+}  // namespace quillgrade::shared
--- /dev/null
+++ b/src/shared/facts.hpp
@@ -0,0 +1,119 @@
+// What the coordinator told any router of the tier: drains and ends of servers, and purges. Each is a fact
+// that only ever narrows, and that is joined without order, so it may come late, twice, and by many ways.
+//
+//   of            known by            newer is                          over
+//   a server      its id              the later start; of one start,    when this router's own list has said
+//                                     gone after draining               otherwise for `contradicted`, see
+//                                     below
+//   a purge       object or group     the later time                    when no older copy can be left
+//
+// The numbers of events differ between routers, so none is passed on. The join is the maximum by an order
+// that is total (tests/shared_test.cpp tries every triple of a small domain).
+//
+// What it promises:
+//   - A fact closes a server, or bounds the age of a copy. It never adds a server, nor opens one.
+//   - What was heard of a server's process does not touch its next one, told by a later start.
+//   - A router that hears its own coordinator goes by its own list again after `contradicted`: a drain that
+//   was
+//     taken back, or a lie, costs that long. One that does not hear it keeps what it was told.
+//   - At most `most` facts; past that what was heard from others is refused, and counted.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "control.hpp"
+#include "feed/event.hpp"
+#include "peers/standing.hpp"
+
+namespace quillgrade::shared {
+
+using peers::Number;
+
+enum class About : std::uint8_t { Server, Object, Group };
+
+struct Fact {
+    About about = About::Server;
+    std::uint64_t key = 0;   // the server's id, the object, the group
+    std::uint64_t time = 0;  // Unix milliseconds: the server's start, 0 long past; when the purge was
+    bool gone = false;       // of a server: it has gone; else it is draining
+    std::uint64_t born = 0;  // Unix milliseconds at which a router first heard it
+    bool operator==(const Fact&) const = default;
+};
+// Whether `one` says more than `other`, which is about the same.
+bool newer(const Fact& one, const Fact& other);
+inline const Fact& join(const Fact& one, const Fact& other) { return newer(other, one) ? other : one; }
+
+class Facts {
+public:
+    // How long a purge matters after its time, and how often each fact is told: as for news of the
+    // membership.
+    Facts(Micros purge_done, int routers);
+
+    static constexpr std::size_t most = 2048;
+    static constexpr Micros contradicted = 8'000'000;  // what is told counts after 7 s whether it came or not
+    static constexpr Micros told_for = 60'000'000;     // from birth
+    static constexpr Micros clocks_apart = 5'000'000;  // later purges than that are no purges
+
+    // A list as this router's own sources have it: what it says of drains and ends is learned, and it is
+    // narrowed by what was heard.
+    feed::Listing listed(feed::Listing told, Micros now);
+    void purged(const feed::PurgeNotice& notice, Micros now);
+    // From another router. True where it is news.
+    bool hear(const Fact& fact, Micros now);
+    // `live`: since when this router hears its own coordinator without a break, 0: it does not. What has
+    // changed for the router since the last call: servers that are closed or open again, and purges.
+    struct Changes {
+        feed::Listing listing;
+        std::vector<feed::PurgeNotice> purges;
+        int closed = 0, opened = 0;     // servers, by what others have heard
+        std::vector<CacheId> reopened;  // by a list: it tells of another process than what was heard
+    };
+    Changes pass(Micros live, Micros now);
+
+    bool news() const;                                     // some that fewer than three were told yet
+    std::vector<Fact> next(std::size_t most, Micros now);  // to tell; they count as told
+    void untold(const Fact& fact);                         // there was no room for it after all
+    // A hash of all that should be known everywhere by now, and facts in turn for one who knows otherwise.
+    std::uint32_t digest(Micros now) const;
+    std::vector<Fact> in_turn(std::size_t most, Micros now);
+
+    const Fact* find(About about, std::uint64_t key) const;
+    std::size_t size() const { return facts.size(); }
+    std::uint64_t refused() const { return seen_refused; }
+
+private:
+    using Key = std::pair<About, std::uint64_t>;
+    struct Known {
+        Fact fact;
+        bool own = false;     // this router's own coordinator says so too
+        bool lapsed = false;  // its own list says otherwise, and has the word
+        bool to_do = false;   // to be told to the router
+        Micros heard = 0;     // when it became what it is, here
+        int left = 0;         // times to tell
+    };
+    struct Entry {
+        feed::Endpoint told;  // as the own list has it
+        Listed shown;         // as the router was told
+    };
+    Known* enter(const Fact& fact, bool own, Micros now);
+    void own(CacheId id, std::uint64_t start, Listed listed, Micros now);
+    Listed narrowed(const Entry& entry, Micros live, Micros now);
+    bool last_of_its_role(const Entry& entry) const;
+    bool current(const Known& known, Micros now) const;
+
+    Micros purge_done;
+    int times;
+    std::map<Key, Known> facts;
+    std::map<CacheId, Entry> servers;
+    std::vector<Key> waiting;  // to tell, newest last
+    Key turn{};
+    std::uint64_t seen_refused = 0;
+    std::vector<CacheId> reopened;
+    Micros heard_live = 0;
+};
+
+}  // namespace quillgrade::shared
--- /dev/null
+++ b/src/shared/opinions.cpp
@@ -0,0 +1,91 @@
+#include "shared/opinions.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "shared/flaw.hpp"
+
+namespace quillgrade::shared {
+
+namespace {
+
+constexpr int enough_measured = 3;
+constexpr double least_weight = 0.25;
+
+}  // namespace
+
+void Opinions::hear(Number witness, int zone, double standing, const Breadth& breadth,
+                    const Complaint& complaint, Micros now) {
+    if (complaint.age >= life || !(complaint.samples > 0)) return;
+    auto of = held.find(complaint.server);
+    bool known = of != held.end() && of->second.contains(witness);
+    if (!known && count >= most) {
+        seen_refused++;
+        return;
+    }
+    if (!known) count++;
+    bool doubted = breadth.measured >= enough_measured && breadth.complains * 2 > breadth.measured;
+    held[complaint.server].insert_or_assign(witness, Held{complaint, now - complaint.age, zone, standing,
+                                                          doubted && !flawed(Flaw::LiarBelieved)});
+}
+
+Hearsay Opinions::weigh(CacheId server, std::uint64_t start, Micros now) const {
+    auto of = held.find(server);
+    if (of == held.end()) return {};
+    std::vector<const Held*> believed, doubted;
+    for (auto& [witness, one] : of->second) {
+        if (now - one.at >= life) continue;
+        if (one.what.start != static_cast<std::uint32_t>(start) && !flawed(Flaw::StartIgnored)) continue;
+        (one.doubted ? doubted : believed).push_back(&one);
+    }
+    // Those in doubt themselves are heard beside others that are not.
+    if (believed.size() >= 2) believed.insert(believed.end(), doubted.begin(), doubted.end());
+    if (believed.size() < 2 && !flawed(Flaw::LoneWitness)) return {};
+    // The weightiest of a zone first.
+    std::sort(believed.begin(), believed.end(), [](auto* a, auto* b) { return a->at > b->at; });
+    std::map<int, double> next;
+    Hearsay sum;
+    std::vector<std::pair<double, double>> slow;  // with its weight
+    double slow_weight = 0;
+    for (auto* one : believed) {
+        auto [zone, fresh] = next.try_emplace(one->zone, 1.0);
+        auto weight = zone->second * one->standing *
+                      std::exp2(-static_cast<double>(now - one->at) / static_cast<double>(half_life));
+        zone->second = std::max(least_weight, zone->second / 2);
+        auto samples = std::min(one->what.samples, most_samples) * weight;
+        sum.samples += samples;
+        sum.bad += samples * std::clamp(one->what.bad, 0.0, 1.0);
+        if (one->what.slow > 0) slow.emplace_back(one->what.slow, samples);
+        slow_weight += one->what.slow > 0 ? samples : 0;
+    }
+    if (sum.samples > 0) sum.bad /= sum.samples;
+    // The weighted median: one witness can't make it whatever it likes.
+    std::sort(slow.begin(), slow.end());
+    double passed = 0;
+    for (auto& [value, weight] : slow) {
+        passed += weight;
+        if (passed * 2 >= slow_weight) {
+            sum.slow = value;
+            break;
+        }
+    }
+    return sum;
+}
+
+std::vector<CacheId> Opinions::named() const {
+    std::vector<CacheId> all;
+    for (auto& [server, by] : held) all.push_back(server);
+    return all;
+}
+
+void Opinions::expire(Micros now) {
+    for (auto of = held.begin(); of != held.end();) {
+        count -= std::erase_if(of->second, [&](auto& one) { return now - one.second.at >= life; });
+        of = of->second.empty() ? held.erase(of) : std::next(of);
+    }
+}
+
+std::size_t Opinions::size() const { return count; }
+
+}  // namespace quillgrade::shared
--- /dev/null
+++ b/src/shared/tally.cpp
@@ -0,0 +1,110 @@
+#include "shared/tally.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+
+#include "shared/flaw.hpp"
+
+namespace quillgrade::shared {
+
+std::uint32_t Tally::bit_of(Number router) {
+    auto number = static_cast<std::uint32_t>(router);
+    return 1u << (XXH32(&number, sizeof number, 0) % 32);
+}
+
+Tally::Tally(Number self, int routers)
+    : mine(bit_of(self)), times(1 + static_cast<int>(std::ceil(std::log2(routers + 1.0)))) {}
+
+void Tally::turn(Micros now) {
+    auto current = epoch_of(now);
+    if (current <= epoch) return;  // a clock that was set back waits here
+    bool next = current == epoch + 1;
+    epoch = current;
+    for (auto& [name, one] : names) one = {0, next ? one.now : 0, 0};
+    std::erase_if(names, [](auto& one) { return one.second.before == 0; });
+    waiting.clear();
+}
+
+// Full: names that nobody else has been asked for make room, as they change no draw. Else it is not counted.
+Tally::Name* Tally::enter(std::uint64_t name) {
+    auto found = names.find(name);
+    if (found != names.end()) return &found->second;
+    if (names.size() >= most)
+        std::erase_if(names, [&](auto& one) { return ((one.second.now | one.second.before) & ~mine) == 0; });
+    if (names.size() >= most) {
+        seen_dropped++;
+        return nullptr;
+    }
+    return &names[name];
+}
+
+void Tally::spread(std::uint64_t name, Name& one) {
+    if (std::popcount(one.now) > saturated) return;
+    if (one.left <= 0) waiting.push_back(name);
+    one.left = static_cast<std::int8_t>(times);
+    // What was not told for long is told by others.
+    while (waiting.size() > 2 * most) waiting.pop_front();
+}
+
+int Tally::asked(std::uint64_t name, Micros now) {
+    turn(now);
+    auto* one = enter(name);
+    if (!one) return 0;
+    if (!(one->now & mine)) {
+        one->now |= mine;
+        spread(name, *one);
+    }
+    return elsewhere(name, now);
+}
+
+int Tally::elsewhere(std::uint64_t name, Micros) const {
+    auto found = names.find(name);
+    if (found == names.end()) return 0;
+    auto& one = found->second;
+    return std::max(std::popcount(one.now & ~mine), std::popcount(one.before & ~mine) / 2);
+}
+
+bool Tally::hear(const Count& count, Micros now) {
+    turn(now);
+    bool old = count.epoch + 1 == epoch;
+    if (count.epoch != epoch && !old && !flawed(Flaw::OldCounts)) {
+        seen_dropped++;
+        return false;
+    }
+    auto* one = enter(count.name);
+    if (!one) return false;
+    auto& into = old ? one->before : one->now;
+    if ((into | count.askers) == into) return false;
+    into |= count.askers;
+    if (!old) spread(count.name, *one);
+    return true;
+}
+
+std::vector<Count> Tally::next(std::size_t most_now, Micros now) {
+    turn(now);
+    std::vector<Count> told;
+    // The newest first: it is the likeliest to be asked for elsewhere next.
+    std::deque<std::uint64_t> again;
+    while (told.size() < most_now && !waiting.empty()) {
+        auto name = waiting.back();
+        waiting.pop_back();
+        auto found = names.find(name);
+        if (found == names.end() || found->second.left <= 0) continue;
+        told.push_back({name, epoch, found->second.now});
+        if (--found->second.left > 0) again.push_back(name);
+    }
+    // Told again after the others.
+    for (auto name : again) waiting.push_front(name);
+    return told;
+}
+
+void Tally::untold(std::uint64_t name) {
+    auto found = names.find(name);
+    if (found == names.end()) return;
+    if (found->second.left++ <= 0) waiting.push_back(name);
+}
+
+}  // namespace quillgrade::shared
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -16,11 +16,11 @@
 
 TEST_CASE("p is 20 over the location's routers, held between one half and 1") {
     auto facts = a_site();
-    CHECK(Router(facts, 1).p == 1);
+    CHECK(Router(facts, 1).p() == 1);
     facts.routers_by_zone[1] = 25;
-    CHECK(Router(facts, 1).p == 0.8);
+    CHECK(Router(facts, 1).p() == 0.8);
     facts.routers_by_zone[1] = 90;
-    CHECK(Router(facts, 1).p == 0.5);
+    CHECK(Router(facts, 1).p() == 0.5);
 }
 
 TEST_CASE("a kept name goes on asking keep, and later parts follow without counting") {
--- /dev/null
+++ b/tests/flaws/shared_flaws.cpp
@@ -0,0 +1,346 @@
+// What the routers share, in simulated time and by small scenes: once as it is, and once with each guard
+// taken out. A scene that passes has to fail without its guard, else it proves nothing. Built with
+// QUILLGRADE_FLAWS.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include <boost/random/uniform_01.hpp>
+#include <functional>
+
+#include "rig/fleet/budget.hpp"
+#include "rig/partner.hpp"
+#include "shared/flaw.hpp"
+
+using namespace quillgrade;
+using namespace quillgrade::shared;
+using rig::SharedFleet;
+
+namespace {
+
+constexpr Micros ms = 1000, second = 1000 * ms, noon_at = 1'764'576'000 * second;
+constexpr std::uint64_t noon_ms = noon_at / ms;
+constexpr CacheId parent = 101;
+
+// A fleet whose routers all want a parent that has just started; what it got is judged from outside.
+class Scene {
+public:
+    Scene(int routers, std::uint64_t seed, rig::Weather weather = {0.05, 3 * ms, 24 * ms, 0.002, 0.02},
+          Micros loan = 2 * second, double per_s = 20)
+        : per_s(per_s), chance(static_cast<std::uint32_t>(seed)) {
+        auto& terms = rig::partner_terms();
+        terms.exchange = {};
+        terms.exchange.site = rig::shared_site();
+        terms.exchange.loan = loan;
+        terms.steady = [this] { return fleet ? fleet->now() : noon_at; };
+        peers::Rates rates;
+        rates.bytes_per_s = 600;
+        fleet = std::make_unique<SharedFleet>(routers, 1, seed, rates, weather);
+        fleet->start_all();
+        fleet->run_until(fleet->now() + 15 * second);
+        started = fleet->now();
+        for (int i = 0; i < routers; i++) tell(i);
+    }
+    void tell(int router) {
+        feed::Endpoint endpoint;
+        endpoint.entry = {parent, Listed::Ready, 4, 1, 0, 0, started};
+        fleet->visit(router, [&](rig::Partner& one) {
+            one.exchange().listed({false, {endpoint}}, one.times(fleet->clock(router)));
+        });
+    }
+    void restart(int router) {
+        fleet->kill(router);
+        std::erase_if(late, [&](auto& one) { return one.router == router; });
+        fleet->start(router);
+        tell(router);
+    }
+    // `late_share`: of what was decided, is written only after a stop of up to three seconds.
+    void go(Micros time, double late_share = 0) {
+        boost::random::uniform_01<double> unit;
+        for (auto until = fleet->now() + time; fleet->now() < until;) {
+            fleet->run_until(fleet->now() + 2 * ms);
+            for (int i = 0; i < fleet->count(); i++) {
+                if (unit(chance) >= per_s * 0.002 || !fleet->runs(i)) continue;
+                Micros good = 0;
+                fleet->visit(i, [&](rig::Partner& one) { good = one.want(parent, work, fleet->clock(i)); });
+                if (good == 0) continue;
+                auto delay = unit(chance) < late_share ? static_cast<Micros>(unit(chance) * 3e6) : 0;
+                late.push_back({i, fleet->now() + delay, good});
+            }
+            std::erase_if(late, [&](auto& one) {
+                if (one.at > fleet->now()) return false;
+                if (fleet->now() <= one.good) seen.push_back(fleet->now());
+                return true;
+            });
+        }
+    }
+    rig::ColdVerdict verdict() const {
+        rig::ColdTerms terms;
+        terms.cold = rig::shared_site().parent_cold;
+        return rig::judge(seen, started, fleet->now(), terms, 0);
+    }
+    bool holds() const {
+        auto judged = verdict();
+        MESSAGE(judged.lookups, " lookups, ", judged.most_share, " of the budget in the fullest window, ",
+                judged.used_share, " used");
+        return judged.exceeded == 0 && judged.lookups > 20;
+    }
+    std::vector<Number> owners() const {
+        RightTerms terms;
+        terms.routers = fleet->count();
+        return Rights(terms).owners_of(parent, static_cast<std::uint64_t>(started / ms));
+    }
+
+    static constexpr double work = 100'000;
+    std::unique_ptr<SharedFleet> fleet;
+    Micros started = 0;
+
+private:
+    struct Late {
+        int router;
+        Micros at, good;
+    };
+    double per_s;
+    boost::random::mt19937 chance;
+    std::vector<Late> late;
+    std::vector<Micros> seen;
+};
+
+bool plain() {
+    Scene scene(12, 3);
+    scene.go(8 * second);
+    return scene.holds();
+}
+
+bool cut_while_lent() {
+    Scene scene(12, 5);
+    scene.go(3 * second);
+    for (int a = 0; a < 12; a++)
+        for (int b = 0; b < 12; b++)
+            if (a % 3 != b % 3) scene.fleet->cut(a, b, true);
+    scene.go(6 * second);
+    return scene.holds();
+}
+
+bool lenders_killed() {
+    Scene scene(12, 7);
+    scene.go(3 * second);
+    for (auto owner : scene.owners()) scene.restart(owner);
+    scene.go(1 * second);
+    for (auto owner : scene.owners()) scene.restart(owner);
+    scene.go(5 * second);
+    return scene.holds();
+}
+
+// An owner and one who borrows from it, with nothing between them.
+struct Two {
+    explicit Two(double whole) {
+        RightTerms terms;
+        terms.routers = 4;
+        terms.owners = 1;
+        terms.now = -1000 * second;
+        while (Rights(terms).owners_of(server, 5)[0] != 0) server++;
+        loan = terms.loan;
+        owner = std::make_unique<Rights>(terms);
+        terms.self = 1;
+        terms.seed = 2;
+        borrower = std::make_unique<Rights>(terms);
+        for (auto* one : {owner.get(), borrower.get()}) one->list({{server, 5, whole}}, 0);
+    }
+    Grant lend() {
+        borrower->missed(server, 100'000, 100'000, 0);
+        owner->asked(1, 1, borrower->asks([](Number) { return true; }, 0).at(0).what, 0);
+        return owner->grants(0).at(0).what;
+    }
+    CacheId server = 1;
+    Micros loan = 0;
+    std::unique_ptr<Rights> owner, borrower;
+};
+
+bool doubled() {
+    Two two(400'000);
+    auto grant = two.lend();
+    two.borrower->granted(0, grant, 0);
+    two.borrower->granted(0, grant, 0);
+    return two.borrower->available(two.server, 0) + two.owner->available(two.server, 0) <= 400'000;
+}
+
+// The borrower looks, is stopped until long after its loan, and goes on; the owner uses what it has back.
+bool stopped_before_sending() {
+    Two two(100'000);
+    two.borrower->granted(0, two.lend(), 0);
+    auto until = two.borrower->use(two.server, 100'000, 1, second);
+    auto later = two.loan + two.owner->counted() + second;
+    bool owner_sends = two.owner->available(two.server, later) >= 100'000;
+    bool borrower_sends = later + 10 * ms <= until;
+    return owner_sends && !borrower_sends;
+}
+
+// The last moment of a loan is used, and its owner wants the same right after its end.
+bool loans_that_move() {
+    Two two(100'000);
+    two.borrower->granted(0, two.lend(), 0);
+    auto last = two.loan - 60 * ms;
+    bool used = two.borrower->available(two.server, last) >= 100'000;
+    two.borrower->use(two.server, 100'000, 1, last);
+    return used && two.owner->available(two.server, two.loan + 10 * ms) < 100'000;
+}
+
+// A loan that is still under way reaches a new life of who asked.
+bool loans_to_an_earlier_life() {
+    RightTerms terms;
+    terms.routers = 4;
+    terms.owners = 1;
+    terms.now = -1000 * second;
+    CacheId server = 1;
+    while (Rights(terms).owners_of(server, 5)[0] != 0) server++;
+    auto made = [&](Number self) {
+        terms.self = self;
+        terms.seed = static_cast<std::uint32_t>(self + 1);
+        Rights rights(terms);
+        rights.list({{server, 5, 100'000}}, 0);
+        return rights;
+    };
+    auto owner = made(0), first = made(1);
+    first.missed(server, 100'000, 100'000, 0);
+    auto asks = first.asks([](Number) { return true; }, 0);
+    owner.asked(1, 1, asks.at(0).what, 0);
+    auto grant = owner.grants(0).at(0).what;
+    // It comes when the owner has it back already.
+    auto late = terms.loan + owner.counted() + 60 * ms;
+    terms.seed = 99;
+    auto next = made(1);
+    next.granted(0, grant, late);
+    return next.available(server, late) + owner.available(server, late) <= 100'000;
+}
+
+bool amounts_invented() {
+    RightTerms terms;
+    terms.routers = 4;
+    terms.owners = 1;
+    terms.now = -1000 * second;
+    CacheId server = 1;
+    while (Rights(terms).owners_of(server, 5)[0] != 0) server++;
+    terms.self = 1;
+    Rights borrower(terms);
+    borrower.list({{server, 5, 400'000}}, 0);
+    borrower.missed(server, 100'000, 100'000, 0);
+    auto ask = borrower.asks([](Number) { return true; }, 0).at(0).what;
+    borrower.granted(0, {server, ask.number, 1e9}, 0);
+    return borrower.available(server, 0) <= 100'000;
+}
+
+bool other_amounts() {
+    // Half of the routers were told to have other owners.
+    Scene scene(12, 15);
+    auto& terms = rig::partner_terms().exchange;
+    terms.owners = 3;
+    for (int i = 0; i < 12; i += 2) scene.restart(i);
+    terms.owners = 4;
+    for (int i = 0; i < 12; i++) scene.tell(i);
+    scene.go(8 * second);
+    bool crossed = false;
+    for (int i = 0; i < 12; i++) {
+        auto& one = *scene.fleet->protocol(i);
+        for (auto to : one.exchange().shares(parent, one.times(scene.fleet->clock(i))).borrowers)
+            crossed |= to % 2 != i % 2;
+    }
+    return scene.fleet->protocol(1)->exchange().figures().other_terms > 0 && !crossed;
+}
+
+bool deaf_keeps_closed() {
+    Facts facts(6 * second, 10);
+    feed::Endpoint one, other;
+    one.entry = {1, Listed::Ready, 4, 0, 0, 1, 0};
+    other.entry = {2, Listed::Ready, 4, 0, 0, 1, 0};
+    facts.listed({true, {one, other}}, noon_at);
+    facts.hear({About::Server, 1, 0, true, noon_ms}, noon_at);
+    facts.pass(0, noon_at);
+    return facts.pass(0, noon_at + 60 * second).opened == 0;
+}
+
+bool next_process_is_open() {
+    Facts facts(6 * second, 10);
+    feed::Endpoint one, other;
+    one.entry = {1, Listed::Ready, 4, 0, 0, 1, noon_at};
+    other.entry = {2, Listed::Ready, 4, 0, 0, 1, 0};
+    facts.listed({true, {one, other}}, noon_at);
+    facts.hear({About::Server, 1, noon_ms, true, noon_ms}, noon_at);
+    facts.pass(0, noon_at);
+    one.entry.started = noon_at + 3 * second;
+    return facts.listed({true, {one, other}}, noon_at + 4 * second).caches[0].entry.listed == Listed::Ready;
+}
+
+bool later_purge_stays() {
+    Facts facts(6 * second, 10);
+    facts.hear({About::Object, 7, noon_ms, false, noon_ms}, noon_at);
+    facts.hear({About::Object, 7, noon_ms - 900, false, noon_ms}, noon_at);
+    return facts.find(About::Object, 7)->time == noon_ms;
+}
+
+bool one_witness_is_none() {
+    Opinions opinions;
+    opinions.hear(1, 0, 1, {5, 1}, {5, 0, 4, 1, 0, 0}, noon_at);
+    return opinions.weigh(5, 0, noon_at).samples == 0;
+}
+
+bool liars_are_doubted() {
+    // One whose own link is cut complains of all; one other has had bad luck with one server.
+    Opinions opinions;
+    for (CacheId server = 1; server <= 5; server++)
+        opinions.hear(1, 0, 1, {5, 5}, {server, 0, 4, 1, 0, 0}, noon_at);
+    opinions.hear(2, 0, 1, {5, 1}, {3, 0, 2, 1, 0, 0}, noon_at);
+    return opinions.weigh(3, 0, noon_at).samples == 0;
+}
+
+bool old_counts_are_dropped() {
+    Tally tally(0, 40);
+    tally.asked(1, noon_at);
+    tally.hear({7, Tally::epoch_of(noon_at) - 5, 0xffffffff}, noon_at);
+    return tally.elsewhere(7, noon_at) == 0;
+}
+
+struct Guard {
+    Flaw flaw;
+    const char* name;
+    std::function<bool()> holds;
+};
+const Guard guards[] = {
+    {Flaw::LoanWithoutEnd, "a loan ends for the borrower", cut_while_lent},
+    {Flaw::LenderKeepsUsing, "what is lent is held back", plain},
+    {Flaw::NewLifeAtOnce, "a new life holds back", lenders_killed},
+    {Flaw::LoanTwice, "a loan counts once", doubled},
+    {Flaw::AnyGrant, "a loan is for who asked", loans_to_an_earlier_life},
+    {Flaw::NotLookedAgain, "a right is looked at where it is used", stopped_before_sending},
+    {Flaw::LentAgainAtOnce, "a loan's last use still counts after its end", loans_that_move},
+    {Flaw::AmountsBelieved, "amounts are cut to what was asked for", amounts_invented},
+    {Flaw::FactsLapseDeaf, "who hears no coordinator keeps what it was told", deaf_keeps_closed},
+    {Flaw::StartIgnored, "a server's next process is open", next_process_is_open},
+    {Flaw::LoneWitness, "one witness is none", one_witness_is_none},
+    {Flaw::LiarBelieved, "who complains of all is doubted", liars_are_doubted},
+    {Flaw::OldCounts, "old counts are dropped", old_counts_are_dropped},
+    {Flaw::SeenAlive, "the whole is not divided by who seems alive", cut_while_lent},
+    {Flaw::OthersTermsIgnored, "only those of like amounts lend to each other", other_amounts},
+    {Flaw::PurgesBackwards, "the later purge stays", later_purge_stays},
+};
+
+}  // namespace
+
+TEST_CASE("each guard holds, and is missed where it is taken out") {
+    CHECK(std::size(guards) == static_cast<std::size_t>(Flaw::Last) - 1);
+    for (auto& guard : guards) {
+        INFO(guard.name);
+        planted() = Flaw::None;
+        CHECK(guard.holds());
+        planted() = guard.flaw;
+        CHECK(!guard.holds());
+        planted() = Flaw::None;
+    }
+}
+
+TEST_CASE("a lone third of a fleet is let have its own part, and the whole is used where all are heard") {
+    Scene scene(40, 17, {0.05, 3 * ms, 24 * ms, 0.002, 0.02}, 3 * second, 40);
+    scene.go(9 * second);
+    auto judged = scene.verdict();
+    CHECK(judged.exceeded == 0);
+    CHECK(judged.used_share > 0.6);
+}
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -535,7 +535,7 @@
     Quiet quiet;
     Listener stand_in;
     Coordinator coordinator(quiet.base.get(), {0x7f000001, static_cast<std::uint16_t>(stand_in.port)},
-                            quiet.launch.terms, 4, quiet.gathered);
+                            quiet.launch.terms, 4, quiet.clock, quiet.gathered);
     std::string purge("\0\0\0\x13\0\0\0\0\0\0\0\5\4\0\x11\0\0\0\0\0\0\0\1", 23);
     for (auto last : {4, 5}) {
         quiet.pump([&] { return Quiet::readable(stand_in); });
--- /dev/null
+++ b/tests/shared_test.cpp
@@ -0,0 +1,712 @@
+// What the routers share: the pieces, each by itself. With guards taken out: flaws/shared_flaws.cpp; in every
+// order: model/loans.cpp; in several processes: fleet/shared/.
+#include <doctest/doctest.h>
+
+#include <bit>
+#include <random>
+#include <set>
+
+#include "helpers.hpp"
+#include "operate/plan.hpp"
+#include "rig/fleet/budget.hpp"
+#include "shared/exchange.hpp"
+
+using namespace quillgrade;
+using namespace quillgrade::shared;
+
+namespace {
+
+constexpr Micros ms = 1000, second = 1000 * ms, noon_at = 1'764'576'000 * second;
+constexpr std::uint64_t noon_ms = noon_at / ms;
+
+feed::Endpoint box(CacheId id, Listed listed = Listed::Ready, Micros started = 0) {
+    feed::Endpoint made;
+    made.entry = {id, listed, 4, 0, 0, 1, started};
+    return made;
+}
+feed::Listing listing(std::vector<feed::Endpoint> boxes, bool complete = false) {
+    return {complete, std::move(boxes)};
+}
+Facts some_facts() { return Facts(6 * second, 10); }
+
+std::vector<Fact> all_facts(About about) {
+    std::vector<Fact> all;
+    for (std::uint64_t time : {1, 2})
+        for (bool gone : {false, true})
+            for (std::uint64_t born : {10, 11}) all.push_back({about, 7, time, gone, born});
+    return all;
+}
+
+RightTerms terms_of(Number self, int routers = 4, int owners = 1) {
+    RightTerms terms;
+    terms.self = self;
+    terms.routers = routers;
+    terms.owners = owners;
+    terms.now = -1000 * second;
+    return terms;
+}
+// A server that router `owner` alone owns.
+CacheId owned_by(Number owner, int routers = 4) {
+    Rights rights(terms_of(0, routers));
+    CacheId id = 1;
+    while (rights.owners_of(id, 5)[0] != owner) id++;
+    return id;
+}
+struct Pair {  // router 0 owns, router 1 borrows
+    CacheId server = owned_by(0);
+    Rights owner{terms_of(0)}, borrower{terms_of(1)};
+    explicit Pair(double whole = 400'000) {
+        owner.list({{server, 5, whole}}, 0);
+        borrower.list({{server, 5, whole}}, 0);
+    }
+    std::vector<Posted<Ask>> asks(Micros now) {
+        return borrower.asks([](Number) { return true; }, now);
+    }
+    // A loan of one lookup, asked for and granted at once.
+    bool lend(Micros now, double work = 100'000) {
+        borrower.missed(server, work, work, now);
+        auto sent = asks(now);
+        if (sent.empty()) return false;
+        owner.asked(1, 9, sent[0].what, now);
+        auto grants = owner.grants(now);
+        for (auto& grant : grants) borrower.granted(0, grant.what, now);
+        return !grants.empty();
+    }
+};
+
+}  // namespace
+
+// ---- facts
+
+TEST_CASE("facts join the same in any order, any number of times") {
+    for (auto about : {About::Server, About::Object}) {
+        auto all = all_facts(about);
+        for (auto& a : all) {
+            CHECK(join(a, a) == a);
+            for (auto& b : all) {
+                REQUIRE(join(a, b) == join(b, a));
+                REQUIRE(join(a, b).time >= a.time);
+                for (auto& c : all) REQUIRE(join(join(a, b), c) == join(a, join(b, c)));
+            }
+        }
+    }
+}
+
+TEST_CASE("a drain heard from another router closes the server, and only that") {
+    auto facts = some_facts();
+    facts.listed(listing({box(1), box(2)}, true), noon_at);
+    CHECK(facts.hear({About::Server, 1, 0, false, noon_ms}, noon_at));
+    auto changes = facts.pass(0, noon_at);
+    REQUIRE(changes.listing.caches.size() == 1);
+    CHECK(changes.listing.caches[0].entry.id == 1);
+    CHECK(changes.listing.caches[0].entry.listed == Listed::Draining);
+    CHECK(!changes.listing.complete);
+    CHECK(facts.pass(0, noon_at).listing.caches.empty());  // told once
+    // A list that has it ready still is narrowed too.
+    CHECK(facts.listed(listing({box(1)}), noon_at + second).caches[0].entry.listed == Listed::Draining);
+}
+
+TEST_CASE("a fact about a server that no list names adds none") {
+    auto facts = some_facts();
+    facts.listed(listing({box(1)}, true), noon_at);
+    facts.hear({About::Server, 9, 0, true, noon_ms}, noon_at);
+    CHECK(facts.pass(0, noon_at).listing.caches.empty());
+    // It overtook the list: once the list has it, it counts.
+    CHECK(facts.listed(listing({box(9)}), noon_at + second).caches[0].entry.listed == Listed::Draining);
+}
+
+TEST_CASE("who hears its coordinator goes by its own list again after a while, who doesn't never") {
+    for (bool live : {true, false}) {
+        auto facts = some_facts();
+        facts.listed(listing({box(1), box(2)}, true), noon_at);
+        facts.hear({About::Server, 1, 0, false, noon_ms}, noon_at);
+        CHECK(facts.pass(live ? noon_at : 0, noon_at).closed == 1);
+        auto later = noon_at + Facts::contradicted;
+        CHECK(facts.pass(live ? noon_at : 0, later - 1).opened == 0);
+        CHECK(facts.pass(live ? noon_at : 0, later).opened == (live ? 1 : 0));
+        CHECK(facts.pass(live ? noon_at : 0, noon_at + 3600 * second).opened == 0);
+    }
+}
+
+TEST_CASE("what counts is how long the coordinator is heard since, not how long it was before") {
+    auto facts = some_facts();
+    facts.listed(listing({box(1), box(2)}, true), noon_at);
+    facts.hear({About::Server, 1, 0, false, noon_ms}, noon_at);
+    facts.pass(0, noon_at);
+    auto back = noon_at + 60 * second;
+    CHECK(facts.pass(back, back + Facts::contradicted - 1).opened == 0);
+    CHECK(facts.pass(back, back + Facts::contradicted).opened == 1);
+}
+
+TEST_CASE("what was heard of a server's process is nothing against its next") {
+    auto facts = some_facts();
+    facts.listed(listing({box(1, Listed::Ready, noon_at), box(2)}, true), noon_at);
+    facts.hear({About::Server, 1, noon_ms, true, noon_ms}, noon_at);
+    CHECK(facts.pass(0, noon_at).closed == 1);
+    auto next =
+        facts.listed(listing({box(1, Listed::Ready, noon_at + second), box(2)}, true), noon_at + 2 * second);
+    CHECK(next.caches[0].entry.listed == Listed::Ready);
+    CHECK(facts.pass(0, noon_at + 2 * second).reopened == std::vector<CacheId>{1});
+}
+
+TEST_CASE("a drain that the own coordinator takes back is open at once") {
+    auto facts = some_facts();
+    facts.listed(listing({box(1, Listed::Draining), box(2)}, true), noon_at);
+    CHECK(facts.listed(listing({box(1)}), noon_at + second).caches[0].entry.listed == Listed::Ready);
+    CHECK(facts.pass(noon_at, noon_at + second).listing.caches.empty());
+}
+
+TEST_CASE("a location's last server is closed by hearsay only where the coordinator is not heard") {
+    for (bool live : {true, false}) {
+        auto facts = some_facts();
+        facts.listed(listing({box(1)}, true), noon_at);
+        facts.hear({About::Server, 1, 0, true, noon_ms}, noon_at);
+        CHECK(facts.pass(live ? noon_at - 60 * second : 0, noon_at).closed == (live ? 0 : 1));
+    }
+}
+
+TEST_CASE("a list without a server says that it has gone, and so it is told") {
+    auto facts = some_facts();
+    facts.listed(listing({box(1), box(2)}, true), noon_at);
+    facts.listed(listing({box(2)}, true), noon_at + second);
+    auto* fact = facts.find(About::Server, 1);
+    REQUIRE(fact);
+    CHECK(fact->gone);
+    auto told = facts.next(10, noon_at + second);
+    REQUIRE(told.size() == 1);
+    CHECK(told[0].key == 1);
+}
+
+TEST_CASE("purges heard are told to the router once, the latest, and none from a clock far ahead") {
+    auto facts = some_facts();
+    CHECK(facts.hear({About::Object, 7, noon_ms - 500, false, noon_ms}, noon_at));
+    CHECK(facts.hear({About::Object, 7, noon_ms - 100, false, noon_ms}, noon_at));
+    CHECK(!facts.hear({About::Object, 7, noon_ms - 300, false, noon_ms}, noon_at));
+    CHECK(!facts.hear({About::Group, 3, noon_ms + 6000, false, noon_ms}, noon_at));
+    auto changes = facts.pass(noon_at, noon_at);
+    REQUIRE(changes.purges.size() == 1);
+    CHECK(changes.purges[0].object == 7);
+    CHECK(changes.purges[0].at == noon_at - 100 * ms);
+    CHECK(facts.pass(noon_at, noon_at).purges.empty());
+    CHECK(facts.size() == 1);
+    facts.pass(noon_at, noon_at + 9 * second);
+    CHECK(facts.size() == 0);  // no older copy can be left
+}
+
+TEST_CASE("facts are bounded: what is heard beyond is refused, what the own coordinator says is not") {
+    auto facts = some_facts();
+    for (std::uint64_t i = 1; i <= Facts::most + 50; i++)
+        facts.hear({About::Object, i, noon_ms, false, noon_ms}, noon_at);
+    CHECK(facts.size() == Facts::most);
+    CHECK(facts.refused() == 50);
+    facts.purged({1'000'000, 0, noon_at}, noon_at);
+    CHECK(facts.size() == Facts::most);
+    CHECK(facts.find(About::Object, 1'000'000));
+}
+
+TEST_CASE("routers that hold the same facts have the same digest, in whatever order they heard them") {
+    auto one = some_facts(), other = some_facts();
+    std::vector<Fact> told;
+    for (std::uint64_t i = 1; i <= 20; i++)
+        told.push_back({About::Object, i, noon_ms - i, false, noon_ms - 1000});
+    for (auto& fact : told) one.hear(fact, noon_at);
+    for (auto fact = told.rbegin(); fact != told.rend(); fact++) other.hear(*fact, noon_at + ms);
+    CHECK(one.digest(noon_at) == other.digest(noon_at));
+    other.hear({About::Object, 21, noon_ms, false, noon_ms - 1000}, noon_at);
+    CHECK(one.digest(noon_at) != other.digest(noon_at));
+    // Told in turn, all come by.
+    std::set<std::uint64_t> seen;
+    for (int i = 0; i < 3; i++)
+        for (auto& fact : other.in_turn(7, noon_at)) seen.insert(fact.key);
+    CHECK(seen.size() == 21);
+}
+
+// ---- rights
+
+TEST_CASE("all routers draw the same owners, and as many owners as routers are all of them") {
+    Rights one(terms_of(0, 300, 4)), other(terms_of(7, 300, 4)), few(terms_of(2, 3, 4));
+    for (CacheId id = 1; id < 50; id++) {
+        auto owners = one.owners_of(id, 5);
+        CHECK(owners == other.owners_of(id, 5));
+        CHECK(std::set<Number>(owners.begin(), owners.end()).size() == 4);
+        auto all = few.owners_of(id, 5);
+        CHECK(std::set<Number>(all.begin(), all.end()).size() == 3);
+    }
+}
+
+TEST_CASE("an owner uses its part alone, and no more within a window") {
+    Pair pair;
+    CHECK(pair.owner.available(pair.server, 0) == 400'000);
+    pair.owner.use(pair.server, 300'000, 1, 0);
+    CHECK(pair.owner.available(pair.server, 0) == 100'000);
+    CHECK(pair.owner.available(pair.server, second) == 100'000);
+    CHECK(pair.owner.available(pair.server, pair.owner.counted()) == 400'000);
+    CHECK(pair.borrower.available(pair.server, 0) == 0);
+    CHECK(pair.borrower.available(777, 0) == 0);
+}
+
+TEST_CASE("what is lent is blocked until one window after its end") {
+    Pair pair;
+    REQUIRE(pair.lend(0));
+    CHECK(pair.borrower.available(pair.server, 0) == 100'000);
+    CHECK(pair.owner.available(pair.server, 0) == 300'000);
+    auto end = terms_of(0).loan;
+    CHECK(pair.borrower.available(pair.server, end - 60 * ms) == 100'000);
+    CHECK(pair.borrower.available(pair.server, end) == 0);
+    CHECK(pair.owner.available(pair.server, end + pair.owner.counted()) == 300'000);
+    CHECK(pair.owner.available(pair.server, end + pair.owner.counted() + 50 * ms) == 400'000);
+}
+
+TEST_CASE("a right is good for a moment, and not past its loan") {
+    Pair pair;
+    REQUIRE(pair.lend(0));
+    CHECK(pair.borrower.use(pair.server, 100'000, 1, second) == second + Rights::good_for);
+    auto late = terms_of(0).loan - 70 * ms;
+    auto until = pair.borrower.use(pair.server, 1, 2, late);
+    CHECK(until <= terms_of(0).loan - 50 * ms);
+}
+
+TEST_CASE("a loan comes once, to who asked for it, and not too late") {
+    Pair pair;
+    pair.borrower.missed(pair.server, 100'000, 100'000, 0);
+    auto ask = pair.asks(0).at(0).what;
+    pair.owner.asked(1, 9, ask, 0);
+    auto grant = pair.owner.grants(0).at(0).what;
+    auto copy = pair.borrower;
+    copy.granted(0, grant, terms_of(0).loan);  // its time is over
+    CHECK(copy.available(pair.server, terms_of(0).loan) == 0);
+    pair.borrower.granted(2, grant, 0);  // not from whom it was asked
+    CHECK(pair.borrower.available(pair.server, 0) == 0);
+    auto other = grant;
+    other.number++;
+    pair.borrower.granted(0, other, 0);
+    CHECK(pair.borrower.available(pair.server, 0) == 0);
+    pair.borrower.granted(0, grant, 0);
+    pair.borrower.granted(0, grant, 0);
+    CHECK(pair.borrower.available(pair.server, 0) == 100'000);
+    Rights next_life(terms_of(1));
+    next_life.list({{pair.server, 5, 400'000}}, 0);
+    next_life.granted(0, grant, 0);
+    CHECK(next_life.available(pair.server, 0) == 0);
+}
+
+TEST_CASE("amounts that were not asked for are cut to what was") {
+    Pair pair;
+    pair.borrower.missed(pair.server, 100'000, 100'000, 0);
+    auto ask = pair.asks(0).at(0).what;
+    pair.borrower.granted(0, {pair.server, ask.number, 1e12}, 0);
+    CHECK(pair.borrower.available(pair.server, 0) == 100'000);
+    CHECK(pair.borrower.figures().bounded == 1);
+    // And an ask for everything gets half of the part at most.
+    pair.owner.asked(2, 9, {pair.server, 5, 1, 1e12, 100'000, 0}, 0);
+    auto grants = pair.owner.grants(0);
+    REQUIRE(grants.size() == 1);
+    CHECK(grants[0].what.amount == 200'000);
+    pair.owner.asked(2, 9, {pair.server, 5, 2, -1, 100'000, 0}, 0);
+    pair.owner.asked(2, 9, {pair.server, 5, 3, 1, 0, 0}, 0);
+    CHECK(pair.owner.grants(0).empty());
+}
+
+TEST_CASE("a new life neither uses nor lends before what its last one promised is over") {
+    auto terms = terms_of(0);
+    terms.now = 0;
+    Rights owner(terms);
+    auto server = owned_by(0);
+    owner.list({{server, 5, 400'000}}, 0);
+    auto waits = owner.new_life_waits();
+    CHECK(waits >= terms.loan + owner.counted());
+    CHECK(owner.available(server, waits - 1) == 0);
+    owner.asked(1, 9, {server, 5, 1, 100'000, 100'000, 0}, waits - 10);
+    CHECK(owner.grants(waits - 10).empty());
+    CHECK(owner.available(server, waits) == 400'000);
+    CHECK(owner.grants(waits).size() == 1);  // it has waited here
+}
+
+TEST_CASE("a loan in use is renewed, raised where more is wanted, and the owner blocks it on") {
+    Pair pair;
+    REQUIRE(pair.lend(0));
+    auto loan = terms_of(0).loan;
+    for (Micros now = 0; now < 4 * loan; now += 100 * ms) {
+        if (pair.borrower.available(pair.server, now) >= 100'000)
+            pair.borrower.use(pair.server, 100'000, now, now);
+        pair.lend(now);
+        REQUIRE(pair.borrower.available(pair.server, now) >= 0);
+    }
+    CHECK(pair.owner.figures().renewed > 2);
+    auto shares = pair.borrower.shares(pair.server, 4 * loan - 100 * ms);
+    CHECK(shares.borrowed >= 200'000);
+    CHECK(pair.owner.shares(pair.server, 4 * loan - 100 * ms).lent >= shares.borrowed);
+}
+
+TEST_CASE("what never reached the server is given back, to the use it was told with") {
+    Pair pair;
+    pair.owner.use(pair.server, 300'000, 11, 0);
+    pair.owner.use(pair.server, 100'000, 12, 500 * ms);
+    pair.owner.give_back(pair.server, 100'000, 12, 600 * ms);
+    CHECK(pair.owner.available(pair.server, 600 * ms) == 100'000);
+    pair.owner.give_back(pair.server, 100'000, 99, 600 * ms);
+    CHECK(pair.owner.available(pair.server, 600 * ms) == 100'000);
+}
+
+TEST_CASE("a server that leaves the list and is back with the same start has not been forgotten") {
+    Pair pair;
+    pair.owner.use(pair.server, 400'000, 1, 0);
+    pair.owner.list({}, 100 * ms);
+    pair.owner.list({{pair.server, 5, 400'000}}, 200 * ms);
+    CHECK(pair.owner.available(pair.server, 200 * ms) == 0);
+}
+
+// Any number of routers, any order: what all send within a window is at most the whole. The network loses,
+// delays and doubles; routers are started again, and stop between the look and the sending.
+TEST_CASE("over every window all together send at most the whole, whatever happens") {
+    for (unsigned seed = 1; seed <= 40; seed++) {
+        std::mt19937 chance(seed);
+        auto draw = [&](int most) { return static_cast<int>(chance() % static_cast<unsigned>(most)); };
+        int routers = 3 + draw(6), owners = 1 + draw(4);
+        CacheId server = 1 + static_cast<CacheId>(draw(1000));
+        double whole = 400'000;
+        std::vector<Rights> all;
+        std::vector<Life> lives(static_cast<std::size_t>(routers), 1);
+        std::vector<Micros> skew;  // steady clocks start anywhere
+        for (Number i = 0; i < routers; i++) {
+            auto terms = terms_of(i, routers, owners);
+            terms.seed = chance();
+            all.emplace_back(terms);
+            skew.push_back(draw(1000) * second);
+            all.back().list({{server, 5, whole}}, skew.back());
+        }
+        struct Flying {
+            Micros at;
+            Number from, to;
+            Life life;
+            std::optional<Ask> ask;
+            std::optional<Grant> grant;
+        };
+        std::vector<Flying> flying;
+        std::vector<std::pair<Micros, double>> sent;
+        struct Pending {
+            Micros at, until;
+            std::size_t router;
+        };
+        std::vector<Pending> pending;
+        for (Micros now = 0; now < 30 * second; now += 10 * ms) {
+            for (std::size_t i = 0; i < all.size(); i++) {
+                auto clock = now + skew[i];
+                auto& rights = all[i];
+                rights.list({{server, 5, whole}}, clock);
+                if (draw(4) == 0) {
+                    if (rights.available(server, clock) >= 100'000) {
+                        auto until = rights.use(server, 100'000, clock, clock);
+                        // Mostly written at once, now and then after a stop.
+                        pending.push_back({now + (draw(10) ? draw(60) * ms : draw(6000) * ms), until, i});
+                    } else {
+                        rights.missed(server, 100'000, 100'000, clock);
+                    }
+                }
+                auto post = [&](Flying one) {
+                    if (draw(5) == 0) return;
+                    for (int copies = draw(5) ? 1 : 2; copies > 0; copies--) {
+                        one.at = now + (draw(20) ? draw(40) * ms : draw(3000) * ms);
+                        flying.push_back(one);
+                    }
+                };
+                auto self = static_cast<Number>(i);
+                for (auto& [to, ask] : rights.asks([](Number) { return true; }, clock))
+                    post({0, self, to, lives[i], ask, {}});
+                for (auto& [to, grant] : rights.grants(clock)) post({0, self, to, lives[i], {}, grant});
+                if (draw(2000) == 0) {
+                    lives[i]++;
+                    auto terms = terms_of(self, routers, owners);
+                    terms.now = clock;
+                    terms.seed = chance();
+                    rights = Rights(terms);
+                    rights.list({{server, 5, whole}}, clock);
+                    std::erase_if(pending, [&](auto& one) { return one.router == i; });
+                }
+            }
+            std::erase_if(flying, [&](auto& one) {
+                if (one.at > now) return false;
+                auto to = static_cast<std::size_t>(one.to);
+                if (one.ask) all[to].asked(one.from, one.life, *one.ask, now + skew[to]);
+                if (one.grant) all[to].granted(one.from, *one.grant, now + skew[to]);
+                return true;
+            });
+            std::erase_if(pending, [&](auto& one) {
+                if (one.at > now) return false;
+                if (now + skew[one.router] <= one.until) sent.emplace_back(now, 100'000);
+                return true;
+            });
+        }
+        REQUIRE(sent.size() > 20);
+        std::size_t first = 0;
+        double sum = 0;
+        for (std::size_t last = 0; last < sent.size(); last++) {
+            sum += sent[last].second;
+            while (sent[last].first - sent[first].first >= second) sum -= sent[first++].second;
+            INFO("seed ", seed, " at ", sent[last].first);
+            REQUIRE(sum <= whole + 1);
+        }
+    }
+}
+
+// ---- judgements
+
+TEST_CASE("two witnesses make a judgement, one does not, and age makes it fade") {
+    Opinions opinions;
+    Complaint slow{5, 0, 3, 0, 6.0, 0};
+    opinions.hear(1, 0, 1, {4, 1}, slow, noon_at);
+    CHECK(opinions.weigh(5, 0, noon_at).samples == 0);
+    opinions.hear(2, 1, 1, {4, 1}, slow, noon_at);
+    auto fresh = opinions.weigh(5, 0, noon_at);
+    CHECK(fresh.samples == 6);
+    CHECK(fresh.slow == 6.0);
+    auto later = opinions.weigh(5, 0, noon_at + Opinions::half_life);
+    CHECK(later.samples == doctest::Approx(3));
+    CHECK(opinions.weigh(5, 0, noon_at + Opinions::life).samples == 0);
+    CHECK(opinions.weigh(5, 1, noon_at).samples == 0);  // it was started again since
+    opinions.expire(noon_at + Opinions::life);
+    CHECK(opinions.size() == 0);
+}
+
+TEST_CASE("witnesses in different zones count more than as many in one") {
+    Opinions one_zone, many;
+    Complaint bad{5, 0, 4, 1, 0, 0};
+    for (Number i = 0; i < 4; i++) {
+        one_zone.hear(i, 0, 1, {4, 1}, bad, noon_at);
+        many.hear(i, i, 1, {4, 1}, bad, noon_at);
+    }
+    CHECK(many.weigh(5, 0, noon_at).samples == 16);
+    CHECK(one_zone.weigh(5, 0, noon_at).samples == 8);
+}
+
+TEST_CASE("a witness that alone complains of most servers is itself doubted") {
+    Opinions opinions;
+    Complaint bad{5, 0, 4, 1, 0, 0};
+    opinions.hear(1, 0, 1, {5, 5}, bad, noon_at);
+    opinions.hear(2, 1, 1, {5, 1}, bad, noon_at);
+    CHECK(opinions.weigh(5, 0, noon_at).samples == 0);
+    opinions.hear(3, 2, 1, {5, 1}, bad, noon_at);
+    CHECK(opinions.weigh(5, 0, noon_at).samples == 12);  // beside two others it is heard
+}
+
+TEST_CASE("one witness can't make a server as slow as it likes") {
+    Opinions opinions;
+    opinions.hear(1, 0, 1, {5, 1}, {5, 0, 4, 0, 3, 0}, noon_at);
+    opinions.hear(2, 1, 1, {5, 1}, {5, 0, 4, 0, 3.2, 0}, noon_at);
+    opinions.hear(3, 2, 1, {5, 1}, {5, 0, 4, 0, 1e5, 0}, noon_at);
+    CHECK(opinions.weigh(5, 0, noon_at).slow == 3.2);
+}
+
+TEST_CASE("hearsay speaks only where own samples are few, and own samples beat it") {
+    auto module = router();
+    auto* server = find_server(module, 1);
+    server->hearsay = {8, 0.9, 0};
+    CHECK(std::string(complaint(module, *server, noon)) == "failing, by hearsay");
+    server->judged_at = 0;
+    server->hearsay = {8, 0, 4};
+    CHECK(std::string(complaint(module, *server, noon)) == "slow, by hearsay");
+    server->judged_at = 0;
+    for (int i = 0; i < 8; i++) server->verdicts.push_back({noon, 0});
+    CHECK(complaint(module, *server, noon) == nullptr);
+    server->judged_at = 0;
+    server->verdicts.clear();
+    server->hearsay = {5, 1, 9};  // too few
+    CHECK(complaint(module, *server, noon) == nullptr);
+}
+
+TEST_CASE("a location's last path stays, whatever others say") {
+    auto module = router();
+    for (CacheId id : {1, 2, 3}) find_server(module, id)->hearsay = {20, 1, 20};
+    for (auto& server : module.servers) server.last_trial = noon;
+    auto handle = module.take(lookup(1), noon);
+    auto answer = handle.place(noon + 1);
+    CHECK(answer.final == Final::None);
+    CHECK(answer.send);
+}
+
+TEST_CASE("a witness tells of what stands out by two samples, beside its peers") {
+    auto module = router();
+    for (CacheId id : {1, 2, 3})
+        for (int i = 0; i < 2; i++) {
+            find_server(module, id)->slowness.push_back({noon, id == 2 ? 9.0 : 1.2});
+            find_server(module, id)->verdicts.push_back({noon, 0});
+        }
+    auto told = module.witnessed(noon);
+    REQUIRE(told.size() == 1);
+    CHECK(told[0].server == 2);
+    CHECK(told[0].slow == doctest::Approx(7.5));
+    CHECK(module.measured(noon) == 3);
+    // What all share is no complaint.
+    for (CacheId id : {1, 3})
+        for (auto& sample : find_server(module, id)->slowness) sample.value = 9;
+    CHECK(module.witnessed(noon).empty());
+}
+
+// ---- counts
+
+TEST_CASE("counts never fall under the own ones and never rise over what all were asked") {
+    constexpr int routers = 40;
+    std::vector<Tally> all;
+    for (Number i = 0; i < routers; i++) all.emplace_back(i, routers);
+    std::mt19937 chance(5);
+    std::map<std::uint64_t, std::set<Number>> truly;
+    for (int step = 0; step < 4000; step++) {
+        auto who = static_cast<Number>(chance() % routers);
+        std::uint64_t name = 1 + chance() % 50;
+        all[static_cast<std::size_t>(who)].asked(name, noon_at);
+        truly[name].insert(who);
+        auto& from = all[chance() % routers];
+        auto& to = all[chance() % routers];
+        for (auto& count : from.next(5, noon_at)) {
+            to.hear(count, noon_at);
+            to.hear(count, noon_at);
+        }
+        for (std::uint64_t probe = 1; probe <= 50; probe += 7) {
+            auto elsewhere = to.elsewhere(probe, noon_at);
+            REQUIRE(elsewhere >= 0);
+            REQUIRE(elsewhere <= static_cast<int>(truly[probe].size()));
+        }
+    }
+    int told = 0;
+    for (std::uint64_t name = 1; name <= 50; name++) told += all[0].elsewhere(name, noon_at) >= 4;
+    CHECK(told > 25);
+}
+
+TEST_CASE("an epoch that is over counts half, then nothing, and counts of a life long over are dropped") {
+    Tally tally(0, 40);
+    std::uint32_t six = 0;
+    for (Number i = 1; std::popcount(six) < 6; i++)
+        if (Tally::bit_of(i) != Tally::bit_of(0)) six |= Tally::bit_of(i);
+    auto epoch = Tally::epoch_of(noon_at);
+    CHECK(tally.hear({7, epoch, six}, noon_at));
+    CHECK(!tally.hear({7, epoch, six}, noon_at));
+    CHECK(tally.elsewhere(7, noon_at) == 6);
+    CHECK(tally.asked(8, noon_at + Tally::epoch_lasts) == 0);
+    CHECK(tally.elsewhere(7, noon_at + Tally::epoch_lasts) == 3);
+    CHECK(!tally.hear({9, epoch - 1, six}, noon_at + Tally::epoch_lasts));
+    CHECK(tally.elsewhere(9, noon_at + Tally::epoch_lasts) == 0);
+    tally.asked(8, noon_at + 2 * Tally::epoch_lasts);
+    CHECK(tally.elsewhere(7, noon_at + 2 * Tally::epoch_lasts) == 0);
+}
+
+TEST_CASE("names are bounded, and those that change a draw stay") {
+    Tally tally(0, 40);
+    auto epoch = Tally::epoch_of(noon_at);
+    auto other = Tally::bit_of(1) == Tally::bit_of(0) ? Tally::bit_of(2) : Tally::bit_of(1);
+    for (std::uint64_t i = 1; i <= 100; i++) tally.hear({i, epoch, other}, noon_at);
+    for (std::uint64_t i = 1000; i < 1000 + 3 * Tally::most; i++) tally.asked(i, noon_at);
+    CHECK(tally.size() <= Tally::most);
+    for (std::uint64_t i = 1; i <= 100; i++) REQUIRE(tally.elsewhere(i, noon_at) == 1);
+}
+
+TEST_CASE("p follows how much of the location is heard, without a jump") {
+    auto facts = a_site();
+    facts.routers_by_zone = {0, 40, 2};
+    Router module(facts, 1);
+    double last = module.p();
+    CHECK(last == 0.5);
+    for (int heard = 2; heard <= 40; heard++) {
+        module.heard = heard;
+        CHECK(module.p() >= last);
+        CHECK(module.p() - last <= 0.5);
+        last = module.p();
+    }
+    CHECK(last == 1);
+}
+
+// ---- what rides on a datagram
+
+TEST_CASE("a load is read as it was written, within its room") {
+    Load load;
+    load.terms = 77;
+    load.digest = 88;
+    load.facts = {{About::Server, 5, 0, true, noon_ms - 300},
+                  {About::Server, 6, noon_ms - 12'345, false, noon_ms},
+                  {About::Object, ~0ull, noon_ms - 50, false, noon_ms - 100},
+                  {About::Group, 0, noon_ms + 20, false, noon_ms}};
+    load.asks = {{9, 10, 11, 100'000, 50'000, 12}};
+    load.grants = {{9, 11, 100'000}};
+    load.breadth = {20, 2};
+    load.complaints = {{5, 3, 4, 0.25, 3.5, 700 * ms}};
+    load.counts = {{123, 40, 0xf0}, {124, 39, 3}};
+    auto written = encode(load, 250, noon_at);
+    CHECK(written.bytes.size() <= 250);
+    CHECK(written.facts == 4);
+    CHECK(written.counts == 2);
+    auto read = decode(written.bytes, noon_at);
+    REQUIRE(read);
+    CHECK(read->facts == load.facts);
+    CHECK(read->asks == load.asks);
+    CHECK(read->grants == load.grants);
+    CHECK(read->complaints == load.complaints);
+    CHECK(read->counts == load.counts);
+    CHECK(read->breadth.measured == 20);
+    for (std::size_t room = 0; room < 250; room++) {
+        auto less = encode(load, room, noon_at);
+        REQUIRE(less.bytes.size() <= room);
+        REQUIRE((less.bytes.empty() || decode(less.bytes, noon_at)));
+    }
+}
+
+TEST_CASE("loads of any bytes cost only themselves") {
+    std::mt19937 chance(3);
+    Load load;
+    load.facts = {{About::Object, 7, noon_ms, false, noon_ms}};
+    load.asks = {{9, 10, 11, 100'000, 50'000, 12}};
+    auto good = encode(load, 250, noon_at).bytes;
+    for (int i = 0; i < 20'000; i++) {
+        auto bytes = good;
+        for (int flips = 1 + static_cast<int>(chance() % 4); flips > 0; flips--)
+            bytes[chance() % bytes.size()] = static_cast<char>(chance());
+        if (auto read = decode(bytes, noon_at))
+            for (auto& fact : read->facts) REQUIRE(fact.time < 1ull << 53);
+    }
+    CHECK(!decode("\xff\xff", noon_at));
+}
+
+// ---- the operators' file
+
+TEST_CASE("what is shared is named in the operators' file, with peers, and faults are told") {
+    auto good = operate::read(
+        R"({"peers": {}, "shared": {"rights": {"owners": 6, "loan_ms": 900}, "counts": false}})");
+    CHECK(good.faults.empty());
+    REQUIRE(good.plan.shared);
+    CHECK(good.plan.shared->owners == 6);
+    CHECK(good.plan.shared->loan == 900 * ms);
+    CHECK(!good.plan.shared->counts);
+    CHECK(good.plan.shared->facts);
+    CHECK(!operate::read(R"({"peers": {}, "shared": {"rights": false}})").plan.shared->rights);
+    CHECK(operate::read(R"({"shared": {}})").faults.size() == 1);
+    CHECK(operate::read(R"({"peers": {}, "shared": {"rights": {"owners": 0}}})").faults.size() == 1);
+    CHECK(operate::read(R"({"peers": {}, "shared": {"rights": {"owners": 2.5}}})").faults.size() == 1);
+    CHECK(operate::read(R"({"peers": {}, "shared": {"budgets": {}}})").faults.size() == 1);
+    CHECK(!operate::read("{}").plan.shared);
+}
+
+TEST_CASE("the onlooker's budget counts what came within a window") {
+    rig::ColdTerms terms;  // 8 lookups a window at the start, 80 at the end
+    std::vector<std::int64_t> seen(8, 1000);
+    CHECK(rig::judge(seen, 0, 5'000'000, terms).exceeded == 0);
+    seen.push_back(1000);
+    CHECK(rig::judge(seen, 0, 5'000'000, terms).exceeded == 1);
+    seen.back() = 2'000'000;
+    CHECK(rig::judge(seen, 0, 5'000'000, terms).exceeded == 0);
+}
+
+// ---- in the module
+
+TEST_CASE("a cold server gets what the right allows, used up by what is sent") {
+    auto module = router();
+    auto entry_of = entry(11, 1, 0);
+    entry_of.started = noon;
+    module.list({entry_of}, false, noon);
+    auto* parent = find_server(module, 11);
+    parent->right = 250 * test_ms;
+    double work = 100 * test_ms;
+    CHECK(within_cold_budget(module, *parent, work, noon + 1));
+    CHECK(parent->wanted == work);
+    parent->right = 99 * test_ms;
+    CHECK(!within_cold_budget(module, *parent, work, noon + 1));
+    parent->right = -1;  // not shared: its own part of the whole
+    CHECK(!within_cold_budget(module, *parent, 1000 * work, noon + 1));
+}
