--- a/src/rig/fleet/budget.hpp
+++ b/src/rig/fleet/budget.hpp
@@ -23,8 +23,9 @@
 
 struct ColdVerdict {
     int windows = 0, exceeded = 0;
-    double most_share = 0;  // of the budget, in the fullest window
-    double used_share = 0;  // of all that the settings allowed over the time watched
+    double most_share = 0;           // of the budget, in the fullest window
+    std::int64_t fullest_after = 0;  // the start
+    double used_share = 0;           // of all that the settings allowed over the time watched
     std::size_t lookups = 0;
 };
 
@@ -43,7 +44,10 @@
         auto whole = terms.whole(seen[last] - started);
         verdict.windows++;
         verdict.exceeded += count > whole + 1e-6;
-        verdict.most_share = std::max(verdict.most_share, count / whole);
+        if (count / whole > verdict.most_share) {
+            verdict.most_share = count / whole;
+            verdict.fullest_after = seen[last] - started;
+        }
     }
     double allowed = 0;
     constexpr std::int64_t step = 10'000;
--- a/src/rig/fleet/fleet.hpp
+++ b/src/rig/fleet/fleet.hpp
@@ -53,6 +53,7 @@
     Micros changed_at(int router) const;  // when it was last started, ended, stopped or continued
     // Its clock from now on: that much off the true one, standing still or not.
     void clock(int router, Micros off, bool stands);
+    void disturbed(int router) { all[static_cast<std::size_t>(router)].changed = unix_now(); }
     void boxes(int router, bool cut);        // whether it reaches its boxes
     void coordinator(int router, bool cut);  // and the coordinator
     // Clients' lookups a second to this router; 0: none any more.
--- a/src/rig/fleet/main.cpp
+++ b/src/rig/fleet/main.cpp
@@ -93,8 +93,10 @@
                            : fmt::format(", a death known to all after {:.0f} ms", outcome.detect_ms.back()));
             for (auto& budget : outcome.budgets)
                 fmt::print(
-                    "  budget: {} lookups in {} windows, {} over, {:.2f} of it in the fullest, {:.2f} used\n",
-                    budget.lookups, budget.windows, budget.exceeded, budget.most_share, budget.used_share);
+                    "  budget: {} lookups in {} windows, {} over, {:.2f} of it in the fullest, {:.2f} used "
+                    "(fullest after {} ms)\n",
+                    budget.lookups, budget.windows, budget.exceeded, budget.most_share, budget.used_share,
+                    budget.fullest_after / 1000);
             if (outcome.lookups.asked > 0)
                 fmt::print("  lookups: {} asked, {} handled, {} rejected, {} broken off\n",
                            outcome.lookups.asked, outcome.lookups.handled, outcome.lookups.rejected,
--- a/src/rig/fleet/script.cpp
+++ b/src/rig/fleet/script.cpp
@@ -312,8 +312,9 @@
         if (one.contains("weather")) weather(one.at("weather"));
         if (one.contains("clock"))
             for (auto router : numbers(one.at("clock").at("of")))
-                fleet.clock(router, static_cast<Micros>(one.at("clock").value("jump_s", 0.0) * 1e6),
-                            one.at("clock").value("stands", false));
+                fleet.disturbed(router),
+                    fleet.clock(router, static_cast<Micros>(one.at("clock").value("jump_s", 0.0) * 1e6),
+                                one.at("clock").value("stands", false));
         if (one.contains("boxes"))
             for (auto router : numbers(one.at("boxes").at("of")))
                 fleet.boxes(router, one.at("boxes").at("cut"));
