--- a/src/node/turn.cpp
+++ b/src/node/turn.cpp
@@ -166,7 +166,11 @@
         auto* server = find_server(router, id);
         if (!server || server->right < 0) continue;
         double used = exchange->right(id, times) - server->right;
-        if (used > 0) until[id] = exchange->use(id, used, now, times);
+        if (used > 0) {
+            auto good = exchange->use(id, used, now, times);
+            auto [known, first] = until.emplace(id, good);
+            if (!first) known->second = std::min(known->second, good);
+        }
         exchange->missed(id, std::exchange(server->wanted, 0) - std::max(0.0, used), server->wanted_once,
                          times);
         for (auto& one : server->returned) exchange->give_back(id, one.value, one.at, times);
--- a/src/rig/fleet/script.cpp
+++ b/src/rig/fleet/script.cpp
@@ -416,7 +416,8 @@
     }
     void judge_budgets() {
         for (auto& watch : watches) {
-            auto verdict = judge(fleet.outside().seen_at(watch.id), watch.started, unix_now(), watch.terms);
+            auto verdict = judge(fleet.outside().seen_at(watch.id), watch.started, unix_now(), watch.terms,
+                                 100 * ms, 300 * ms);
             out.budgets.push_back(verdict);
             if (verdict.exceeded > 0)
                 fault("server " + std::to_string(watch.id) + " got up to " +
--- a/src/shared/exchange.cpp
+++ b/src/shared/exchange.cpp
@@ -110,12 +110,14 @@
 feed::Listing Exchange::listed(feed::Listing told, const Times& now) {
     last = now;
     if (terms.parts.rights && terms.site.ratings_are_links) {
+        // Parents only: all routers share them, so one's part is small. A location's caches have few routers,
+        // whose parts are a lookup or more, and what they see answered raises them: pooled they were used
+        // less (docs/results.md).
         if (told.complete) cold.clear();
         for (auto& endpoint : told.caches) {
             auto& entry = endpoint.entry;
-            auto warm_at = entry.started + (is_parent(entry) ? terms.site.parent_cold : terms.site.cold);
-            if (entry.kind == terms.site.origin_kind || entry.listed == Listed::Gone || entry.started <= 0 ||
-                now.unix >= warm_at)
+            bool warm = entry.started <= 0 || now.unix >= entry.started + terms.site.parent_cold;
+            if (!is_parent(entry) || entry.listed == Listed::Gone || warm)
                 cold.erase(entry.id);
             else
                 cold[entry.id] = entry;
@@ -135,12 +137,12 @@
         std::erase_if(cold, [&](auto& known) {
             auto& entry = known.second;
             auto age = now.unix - entry.started;
-            if (age >= (is_parent(entry) ? terms.site.parent_cold : terms.site.cold)) return true;
+            if (age >= terms.site.parent_cold) return true;
             // As it stands at the end of a window: what is used now is weighed against all of the window
             // before.
             auto grown = age + terms.site.cold_window - clocks_apart;
             told.push_back({entry.id, static_cast<std::uint64_t>(entry.started / ms),
-                            whole_cold_budget(terms.site, is_parent(entry), entry.rating, grown)});
+                            whole_cold_budget(terms.site, true, entry.rating, grown)});
             return false;
         });
         if (flawed(Flaw::SeenAlive)) rights.alive(circle.counts().surely);
