--- a/src/rig/fleet/script.cpp
+++ b/src/rig/fleet/script.cpp
@@ -168,6 +168,12 @@
                     missing = std::to_string(observer) + " has not logged that";
                     return false;
                 }
+        if (what.contains("never_said"))
+            for (auto observer : by)
+                if (fleet.log(observer).find(what.at("never_said").get<std::string>()) != std::string::npos) {
+                    missing = std::to_string(observer) + " has logged that";
+                    return false;
+                }
         if (what.contains("reached")) {  // since the step that noted it
             auto id = what.at("reached").get<std::uint64_t>();
             if (fleet.outside().seen_at(id).size() < noted[id] + what.value("times", std::size_t{1})) {
