Tell a router that is behind on its own, where bytes go to probing one that is cut off

Checked: the others were told; their answers to its pings had no room for facts, as probes of the router that hears nobody used the bytes up. At fault: Exchange::tell_facts, which told three and then left the rest to answers. Change: a router whose facts differ gets a datagram of its own, for which bytes are saved up, every 0.4 s at most. Off in run, nothing differs.

--- a/src/peers/circle.hpp
+++ b/src/peers/circle.hpp
@@ -151,6 +151,8 @@
     // answers may.
     bool tell(std::size_t most, int in_zone, bool urgent, Micros now);
     bool tell(Number to, bool urgent, Micros now);
+    // The same to one, and where the bytes for it are not there they are saved up.
+    bool insist(Number to, Micros now) { return !(passenger_waits = !tell(to, true, now)); }
     // Bytes that may be sent for the passenger's sake now.
     double spare(Micros now);
 
--- a/src/shared/exchange.cpp
+++ b/src/shared/exchange.cpp
@@ -13,7 +13,8 @@
 
 constexpr Micros ms = 1000, second = 1000 * ms;
 constexpr Micros posted_for = 400 * ms;  // an ask or a grant that found no datagram until then is dropped
-constexpr Micros spare_every = 200 * ms, fresh_complaint = 1500 * ms, differed_for = 10 * second;
+constexpr Micros spare_every = 200 * ms, mend_every = 400 * ms, fresh_complaint = 1500 * ms,
+                 differed_for = 10 * second;
 constexpr std::size_t facts_a_datagram = 10, complaints_a_datagram = 4, counts_a_datagram = 12,
                       most_posted = 8;
 // How far this machine's clock may be ahead of the one that told a server's start.
@@ -186,7 +187,21 @@
 // News of drains and purges does not wait for a probe: three others at once, and each that hears it for the
 // first time does the same, as with news of the membership.
 void Exchange::tell_facts(const Times& now) {
-    if (terms.parts.facts && facts.news()) circle.tell(3, -1, true, now.unix);
+    if (!terms.parts.facts || facts.size() == 0) return;
+    if (facts.news()) {
+        circle.tell(3, -1, true, now.unix);
+        return;
+    }
+    // Guards against a router that is never told, as those who know use up their bytes on somebody who is cut
+    // off.
+    if (now.unix < mend_at) return;
+    auto behind = std::find(unlike.begin(), unlike.end(), true);
+    if (behind == unlike.end()) return;
+    auto who = static_cast<Number>(behind - unlike.begin());
+    if (circle.state(who) != peers::State::Alive)
+        *behind = false;  // a datagram of its own says so anew
+    else if (circle.insist(who, now.unix))
+        mend_at = now.unix + mend_every;
 }
 
 // ---- rights
--- a/src/shared/exchange.hpp
+++ b/src/shared/exchange.hpp
@@ -109,7 +109,7 @@
     std::map<CacheId, int> zones;  // of the servers complained of
     std::vector<Complaint> complaints;
     Breadth breadth;
-    Micros complaints_at = 0, spare_at = 0, expire_at = 0, differed_at = 0;
+    Micros complaints_at = 0, spare_at = 0, mend_at = 0, expire_at = 0, differed_at = 0;
     std::size_t complaint_turn = 0;
     std::map<Number, Out> out;
     std::vector<bool> unlike;  // by router: its facts differ from mine
