--- a/tests/flaws/shared_flaws.cpp
+++ b/tests/flaws/shared_flaws.cpp
@@ -214,19 +214,11 @@
 }
 
 bool amounts_invented() {
-    RightTerms terms;
-    terms.routers = 4;
-    terms.owners = 1;
-    terms.now = -1000 * second;
-    CacheId server = 1;
-    while (Rights(terms).owners_of(server, 5)[0] != 0) server++;
-    terms.self = 1;
-    Rights borrower(terms);
-    borrower.list({{server, 5, 400'000}}, 0);
-    borrower.missed(server, 100'000, 100'000, 0);
-    auto ask = borrower.asks([](Number) { return true; }, 0).at(0).what;
-    borrower.granted(0, {server, ask.number, 1e9}, 0);
-    return borrower.available(server, 0) <= 100'000;
+    Two two(400'000);
+    two.borrower->missed(two.server, 100'000, 100'000, 0);
+    auto ask = two.borrower->asks([](Number) { return true; }, 0).at(0).what;
+    two.borrower->granted(0, {two.server, ask.number, 1e9}, 0);
+    return two.borrower->available(two.server, 0) <= 100'000;
 }
 
 bool other_amounts() {
