--- a/src/shared/opinions.hpp
+++ b/src/shared/opinions.hpp
@@ -33,7 +33,8 @@
     CacheId server = 0;
     std::uint32_t start = 0;  // the lower half of the server's start in Unix milliseconds
     double samples = 0, bad = 0, slow = 0;
-    Micros age = 0;  // since the witness last looked at its samples, when it was told; they are 5 s old at most
+    Micros age =
+        0;  // since the witness last looked at its samples, when it was told; they are 5 s old at most
     bool operator==(const Complaint&) const = default;
 };
 // How many servers the witness has measured lately, and how many of these it complains of.
