--- a/src/http/request.cpp
+++ b/src/http/request.cpp
@@ -21,8 +21,8 @@
 }
 
 Request transmission(const LookupFacts& lookup, const Transmission& order, std::string_view traffic,
-                     std::string_view have, std::string_view body) {
-    Request request{.head = {}, .body = std::string(body), .has_budget = true};
+                     const Carried& carried) {
+    Request request{.head = {}, .body = std::string(carried.body), .has_budget = true};
     request.head.reserve(512);
     auto put = std::back_inserter(request.head);
     fmt::format_to(put, "GET /data/{}/{:016x}/{} HTTP/1.1\r\nHost: {}\r\nX-Hop-Id: {:016x}\r\n", traffic,
@@ -45,8 +45,9 @@
     option(order.held_only, "have-only");
     option(order.renew, "update");
     if (!options.empty()) fmt::format_to(put, "X-Opts: {}\r\n", options);
-    if (!have.empty()) fmt::format_to(put, "X-Have: {}\r\n", have);
-    if (!body.empty()) fmt::format_to(put, "Content-Length: {}\r\n", body.size());
+    if (!carried.have.empty()) fmt::format_to(put, "X-Have: {}\r\n", carried.have);
+    if (!carried.ticket.empty()) fmt::format_to(put, "X-Replay-Key: {}\r\n", carried.ticket);
+    if (!carried.body.empty()) fmt::format_to(put, "Content-Length: {}\r\n", carried.body.size());
     return request;
 }
 
--- a/src/http/request.hpp
+++ b/src/http/request.hpp
@@ -17,10 +17,17 @@
     std::string text(Micros budget) const;
 };
 
+// What goes on as the client sent it.
+struct Carried {
+    std::string_view have;    // the tag of a copy that it holds
+    std::string_view ticket;  // by which caches know a repeat
+    std::string_view body;
+};
+
 // Where a rule has made a key, the path still names the object as the client did, and X-Key the key under
 // which a copy is kept and looked for.
 Request transmission(const LookupFacts& lookup, const Transmission& order, std::string_view traffic,
-                     std::string_view have, std::string_view body);
+                     const Carried& carried);
 Request probe();
 
 }  // namespace quillgrade::http
--- a/src/node/turn.cpp
+++ b/src/node/turn.cpp
@@ -46,8 +46,7 @@
     if (exchange && facts.part == 0 && !facts.write)
         facts.elsewhere = exchange->asked(facts.object, {now, steady});
     auto id = facts.id;
-    open.try_emplace(id, arrived.caller, facts, std::move(arrived.lookup.have),
-                     std::move(arrived.lookup.body), now, base,
+    open.try_emplace(id, arrived.caller, facts, arrived.lookup, now, base,
                      [this, id] { gathered.emplace_back(LookDue{id}); });
     made({id, router.take(facts, now).place(now), {}});
 }
@@ -245,8 +244,8 @@
         return;
     }
     pool.send(order.cache, {lookup.facts.id, round, now, limit, good_until(order)},
-              http::transmission(lookup.facts, order, terms.traffic[lookup.facts.traffic], lookup.have,
-                                 lookup.body));
+              http::transmission(lookup.facts, order, terms.traffic[lookup.facts.traffic], 
+                                 {lookup.have, lookup.ticket, lookup.body}));
 }
 
 void Turn::break_off_all() {
--- a/src/node/turn.hpp
+++ b/src/node/turn.hpp
@@ -30,17 +30,18 @@
 private:
     // A lookup whose final answer is owed.
     struct Open {
-        Open(const Caller& caller, const LookupFacts& facts, std::string have, std::string body, Micros taken,
+        Open(const Caller& caller, const LookupFacts& facts, thrift::Lookup& told, Micros taken,
              event_base* base, std::function<void()> due)
             : caller(caller),
               facts(facts),
-              have(std::move(have)),
-              body(std::move(body)),
+              have(std::move(told.have)),
+              ticket(std::move(told.ticket)),
+              body(std::move(told.body)),
               taken(taken),
               look(base, std::move(due)) {}
         Caller caller;
         LookupFacts facts;
-        std::string have, body;
+        std::string have, ticket, body;
         Micros taken;
         bool answered = false;
         int rounds = 0;      // transmissions so far
--- a/src/thrift/message.cpp
+++ b/src/thrift/message.cpp
@@ -17,6 +17,7 @@
               type_i64 = 10, type_string = 11, type_struct = 12, type_map = 13, type_set = 14, type_list = 15;
 constexpr int unknown_method = 1;
 constexpr int deepest = 16;
+constexpr std::size_t longest_in_header = 1024;
 constexpr Micros ms = 1000;
 constexpr std::int64_t longest_wait_ms = 24 * 3600 * 1000;
 
@@ -112,10 +113,15 @@
     if (!group) return BadLookup{seq, "group"};
     auto kbytes = fields.contains("m") ? bytes::read_amount(field("m")) : 0;
     if (!kbytes) return BadLookup{seq, "size"};
+    // They go on in a header each.
+    auto goes_on = [](std::string_view text) {
+        return text.size() <= longest_in_header &&
+               std::all_of(text.begin(), text.end(), [](unsigned char c) { return c > ' ' && c <= '~'; });
+    };
     lookup.have = field("have");
-    if (std::any_of(lookup.have.begin(), lookup.have.end(),
-                    [](unsigned char c) { return c <= ' ' || c > '~'; }))
-        return BadLookup{seq, "tag"};  // it goes on in a header
+    if (!goes_on(lookup.have)) return BadLookup{seq, "tag"};
+    lookup.ticket = field("k");
+    if (!goes_on(lookup.ticket)) return BadLookup{seq, "ticket"};
     lookup.facts = {.id = *id,
                     .traffic = static_cast<int>(type - traffic.begin()),
                     .object = *object,
--- a/src/thrift/message.hpp
+++ b/src/thrift/message.hpp
@@ -20,7 +20,7 @@
     std::int32_t seq = 0;
     LookupFacts facts{};
     Micros wait = 0;
-    std::string have, body;
+    std::string have, ticket, body;  // they go on unchanged; ticket: by which caches know a repeat
     std::vector<std::pair<std::string, std::string>> named;  // of those that were wanted
 };
 // A field whose value is kept, if it is not longer.
--- a/tests/thrift_test.cpp
+++ b/tests/thrift_test.cpp
@@ -12,6 +12,7 @@
 TEST_CASE("a lookup is read with all its fields") {
     auto fields = call_fields();
     fields["have"] = "4be0c1927d55a6f3";
+    fields["k"] = "eec5e7df63a26aa47333dbfbd4842ece";
     fields["r"] = "1";
     auto message = read(invoke(7, fields, std::string("\0body", 5)));
     auto& lookup = std::get<Lookup>(message);
@@ -25,6 +26,7 @@
     CHECK(lookup.facts.repeat);
     CHECK(lookup.wait == 1'500'000);
     CHECK(lookup.have == "4be0c1927d55a6f3");
+    CHECK(lookup.ticket == "eec5e7df63a26aa47333dbfbd4842ece");
     CHECK(lookup.body == std::string("\0body", 5));
 }
 
@@ -34,14 +36,17 @@
         fields.erase(name);
         CHECK(std::holds_alternative<BadLookup>(read(invoke(1, fields))));
     }
-    for (auto& [name, value] : std::map<std::string, std::string>{{"c", "unheard-of"},
-                                                                  {"i", "9B1F03AA5C7E2D41"},
-                                                                  {"d", "-5"},
-                                                                  {"o", "7f3a"},
-                                                                  {"part", "x"},
-                                                                  {"group", "256"},
-                                                                  {"m", "nan"},
-                                                                  {"have", "a\r\nX-Rank: 3"}}) {
+    for (auto& [name, value] :
+         std::vector<std::pair<std::string, std::string>>{{"c", "unheard-of"},
+                                                          {"i", "9B1F03AA5C7E2D41"},
+                                                          {"d", "-5"},
+                                                          {"o", "7f3a"},
+                                                          {"part", "x"},
+                                                          {"group", "256"},
+                                                          {"m", "nan"},
+                                                          {"have", "a\r\nX-Rank: 3"},
+                                                          {"k", "a\r\nX-Rank: 3"},
+                                                          {"k", std::string(2000, 'k')}}) {
         auto fields = call_fields();
         fields[name] = value;
         CHECK(std::holds_alternative<BadLookup>(read(invoke(1, fields))));
