--- a/src/control.cpp
+++ b/src/control.cpp
@@ -194,6 +194,11 @@
     return (lag - held.sending) / std::max<double>(held.goal - held.taken - held.sending, ms);
 }
 
+void spend(const Router& router, Server& server, double work, Micros now) {
+    if (is_cold(router, server, now)) add(server.spent, now, work, 1024);
+    if (server.right > 0) server.right -= std::min(work, server.right);
+}
+
 Micros left_of(const Held& held, Micros now) { return held.facts.due - now; }
 
 Answer transmit(Router& router, Held& held, Server& cache, Micros now) {
@@ -209,17 +214,18 @@
     double work = mean_sending(type);
     auto expected = held.sending + static_cast<Micros>(median(all(type.extra), 0));
     int round = static_cast<int>(held.rounds.size());
-    held.rounds.push_back({cache.id, source_id, now, static_cast<Micros>(work)});
+    Server* filled_from = find_server(router, source_id);
+    RoundOut sent{cache.id, source_id, now, static_cast<Micros>(work)};
+    sent.cache_since = cold_since(cache);
+    sent.source_since = filled_from ? cold_since(*filled_from) : 0;
+    sent.spent_at = now;
+    held.rounds.push_back(sent);
     InFlight flight{held.facts.id, round, held.facts.traffic, now, expected, held.sending};
     cache.in_flight.push_back(flight);
-    auto spend = [&](Server& at) {
-        if (is_cold(router, at, now)) add(at.spent, now, work, 1024);
-        if (at.right > 0) at.right -= std::min(work, at.right);
-    };
-    spend(cache);
-    if (Server* source = find_server(router, source_id); source && source != &cache) {
-        source->in_flight.push_back(flight);
-        spend(*source);
+    spend(router, cache, work, now);
+    if (filled_from && filled_from != &cache) {
+        filled_from->in_flight.push_back(flight);
+        spend(router, *filled_from, work, now);
     }
     Answer answer;
     answer.send = {.cache = cache.id,
@@ -294,7 +300,8 @@
     return at != router.servers.end() && at->id == id ? &*at : nullptr;
 }
 
-void Router::list(const std::vector<ListEntry>& entries, bool complete, Micros) {
+void Router::list(const std::vector<ListEntry>& entries, bool complete, Micros now) {
+    if (born == 0) born = now;
     if (complete)
         for (auto& server : servers) server.listed = Listed::Gone;
     std::vector<CacheId> fresh;  // thousands may come at once, so they are put in order together
@@ -446,6 +453,10 @@
         if (same_role(router, peer, server) && peer.finished.size() >= enough)
             seen.push_back(rate(peer.finished, peer.finished.back().at));
     if (!router.ratings_are_links) link = std::max(link, mean(seen, 0));
+    // A life knows nothing of what the one before it has sent within the window. Guards against restarted
+    // routers that spend their part twice.
+    double since_start =
+        std::clamp(double(now - router.born) / std::max<Micros>(router.cold_window, ms), 0.0, 1.0);
     double answered = 0, spent = work;
     for (auto& sample : server.finished)
         if (sample.at > std::max(cold_since(server), now - router.cold_window)) answered += sample.value;
@@ -454,7 +465,7 @@
         std::max(whole_cold_budget(router, parent, link, now - cold_since(server)), multiple * answered);
     for (auto& sample : server.spent)
         if (now - sample.at < router.cold_window + 100 * ms) spent += sample.value;
-    return spent <= budget_margin * allowed;
+    return spent <= budget_margin * since_start * allowed;
 }
 
 // The smoothed first-byte time of a source. What is out for longer than the usual answer counts with what it
@@ -533,13 +544,21 @@
     return router.second_copies && !held.facts.no_copies;
 }
 
+bool may_follow(Router& router, const Held& held, std::size_t number, const Server& to, Micros now);
+
 // Rule 2: nothing is sent again that may have run, unless the traffic type allows it there and then.
 bool may_send(Router& router, const Held& held, const Server& to, Micros now) {
-    auto& type = router.traffic[held.facts.traffic];
     int cap = router.transmissions_cap, own = held.facts.most_transmissions;
     if (held.done || static_cast<int>(held.rounds.size()) >= (own > 0 ? std::min(own, cap) : cap))
         return false;
+    return may_follow(router, held, held.rounds.size(), to, now);
+}
+
+// What the other rounds leave open to the one with this number, whether it is decided or written now.
+bool may_follow(Router& router, const Held& held, std::size_t number, const Server& to, Micros now) {
+    auto& type = router.traffic[held.facts.traffic];
     for (auto& round : held.rounds) {
+        if (&round == held.rounds.data() + number) continue;
         if (round.out && !may_copy(router, held)) return false;
         if (!round.out && !round.may_have_run) continue;
         if (type.effect == Effect::Rerunnable) continue;
@@ -745,8 +764,9 @@
     if (source && !hit && !held.held_only && !ours && end.outcome != Outcome::Miss)
         add(type.fill_room, now, ok ? room_of(held, end.lag) : failed_fill_room, few, source->id);
     if (source && hit) {  // the source was never asked
-        std::erase_if(source->spent, [&](auto& s) { return s.at == round.sent && s.value == round.work; });
-        if (source->right >= 0) add(source->returned, round.sent, round.work, 1024);
+        std::erase_if(source->spent,
+                      [&](auto& s) { return s.at == round.spent_at && s.value == round.work; });
+        if (source->right >= 0) add(source->returned, round.spent_at, round.work, 1024);
     }
     land(cache, held.facts.id, end.round);
     land(source, held.facts.id, end.round);
@@ -837,6 +857,33 @@
     return answer;
 }
 
+// Guards against what a connection that came up late would still carry: to a server that drains by now, or
+// that has started again since, after a purge, or past a ticket's window. What is spent counts from now on,
+// as that is when it reaches the server.
+bool Handle::confirm(int number, Transmission& order, Micros now) {
+    if (held.done || number < 0 || number >= static_cast<int>(held.rounds.size())) return false;
+    auto& round = held.rounds[number];
+    Server* cache = find_server(router, round.cache);
+    if (!round.out || !cache || left_of(held, now) <= 0) return false;
+    if (!may_follow(router, held, number, *cache, now)) return false;
+    Server* source = round.source == round.cache ? nullptr : find_server(router, round.source);
+    auto as_decided = [](Server& at, Micros since) {
+        return at.listed == Listed::Ready && cold_since(at) == since;
+    };
+    if (!as_decided(*cache, round.cache_since)) return false;
+    if (source ? !as_decided(*source, round.source_since) : round.source != 0 && round.source != round.cache)
+        return false;
+    for (Server* at : {cache, source}) {
+        if (!at) continue;
+        auto spent = std::find_if(at->spent.begin(), at->spent.end(),
+                                  [&](auto& s) { return s.at == round.spent_at && s.value == round.work; });
+        if (spent != at->spent.end()) spent->at = now;
+    }
+    round.spent_at = now;
+    order.oldest = oldest_allowed(router, held.facts, now);
+    return true;
+}
+
 void Router::probed(CacheId id, Outcome outcome, Micros, const LoadReport& load, Micros now) {
     Server* server = find_server(*this, id);
     if (!server) return;
@@ -889,15 +936,19 @@
     upkeep.subscribe = std::exchange(want_list, false);
     add(out, now, out_at_sources(*this), many);
     bool deaf = probes && link_use_at >= 0 && !told_in_answers;  // then one cache is asked in turn
+    double least_work = mean_sending(traffic.front());  // a probe counts as a lookup of the smallest type
+    for (auto& type : traffic) least_work = std::min(least_work, mean_sending(type));
     for (auto& server : servers)
         if (is_edge(*this, server) && !recent(server.link_use, now, listen_every).empty()) deaf = false;
     for (auto& server : servers) {
         if (server.listed != Listed::Ready || !is_edge(*this, server)) continue;
         const char* wrong = complaint(*this, server, now);
         bool quiet = server.unreached_at > 0 || silence(server, now) > unusual_silence;
-        if ((deaf || (quiet && probes)) && now - server.last_probe >= trial_every) {
+        if ((deaf || (quiet && probes)) && now - server.last_probe >= trial_every &&
+            within_cold_budget(*this, server, least_work, now)) {
             deaf = false;
             server.last_probe = now;
+            spend(*this, server, least_work, now);
             upkeep.probe.push_back(server.id);
         }
         if (server.out_of_favour != (wrong != nullptr))
--- a/src/control.hpp
+++ b/src/control.hpp
@@ -203,6 +203,9 @@
     CacheId cache, source;
     Micros sent, work;
     bool out = true, may_have_run = true;
+    Micros cache_since = 0,
+           source_since = 0;  // since when each was cold when this was decided, 0: it was warm
+    Micros spent_at = 0;      // the time that its work counts from
 };
 
 struct Held {
@@ -246,6 +249,9 @@
     Answer accepted(int round, Micros lag, Micros now);  // a streamed answer has begun
     Answer look(Micros now);                             // the time asked for by look_in has come
     Answer left();                                       // the client went away
+    // Asked when the first byte of a transmission can be written, which may be long after it was decided:
+    // false if it must not go out any more. Brings the age that will do up to date.
+    bool confirm(int round, Transmission& order, Micros now);
 
     Router& router;
     Held& held;
@@ -275,6 +281,7 @@
     Random chance;
     std::unordered_map<ObjectId, CountedName> names;
     Micros halved_at = 0;
+    Micros born = 0;              // when this life was told its first list
     std::vector<Server> servers;  // sorted by id
     std::unordered_map<LookupId, Held> held;
     std::unordered_map<ObjectId, Purge> purged_objects;
--- a/src/http/reply.cpp
+++ b/src/http/reply.cpp
@@ -180,6 +180,7 @@
         head.remove_prefix(std::min(line.size() + 2, head.size()));
     }
     if (chunked && sized) throw Malformed("an answer has two lengths");
+    if (reply.status == 101) throw Malformed("another protocol that nobody asked for");
     if (reply.status < 200) {  // only a word ahead of the answer
         part = Part::Head;
     } else if (reply.status == 304 || reply.status == 204) {
@@ -213,6 +214,8 @@
         reply.never_ran = value == "1";
     } else if (same_word(name, "X-Tell")) {
         reply.note = read_note(value);
+    } else if (same_word(name, "X-Tag")) {
+        reply.tag = value;
     } else if (same_word(name, "X-Ttfb")) {  // milliseconds
         reply.waited = static_cast<Micros>(bytes::read_amount(value).value_or(0) * 1000);
     } else if (same_word(name, "X-Report")) {
--- a/src/http/reply.hpp
+++ b/src/http/reply.hpp
@@ -19,6 +19,7 @@
     Note note = Note::None;
     Micros waited = 0;  // how long a fill waited for its first byte, 0: not told
     LoadReport load;
+    std::string tag;  // of the copy
     std::string body;
 };
 
--- a/src/launch/launch.cpp
+++ b/src/launch/launch.cpp
@@ -1,5 +1,7 @@
 #include "launch/launch.hpp"
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <cstdlib>
 #include <fstream>
@@ -42,7 +44,7 @@
     return room;
 }
 
-Launch read_launch(const std::string& text, const char* name, const char* listen) {
+Launch read_launch(const std::string& text, const char* name, const char* listen, int most_descriptors) {
     try {
         auto told = json::parse(text);
         Launch launch;
@@ -53,7 +55,8 @@
         if (!seed) throw Unusable("the seed is not 16 hex digits");
         launch.seed = *seed;
         auto& limits = told.at("limits");
-        launch.room = divide(limits.at("memory_mb").get<double>(), limits.at("sockets").get<int>());
+        launch.room = divide(limits.at("memory_mb").get<double>(),
+                             std::min(limits.at("sockets").get<int>(), most_descriptors));
         check_amounts(told.at("settings"));
         launch.facts = site::read_facts(told.at("settings"));
         launch.terms = site::read_terms(told.at("settings"));
@@ -92,6 +95,15 @@
     return {terms.traffic, terms.zones, terms.kinds, facts.traffic, facts.transmissions_cap};
 }
 
+// Guards against clients that are let in by the limit that is told, while the system grants less: none would
+// be left for the coordinator and the caches.
+int granted_descriptors() {
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return any_number;
+    if (rlimit more{limit.rlim_max, limit.rlim_max}; setrlimit(RLIMIT_NOFILE, &more) == 0) limit = more;
+    return static_cast<int>(std::min<rlim_t>(limit.rlim_cur, any_number));
+}
+
 Launch from_environment() {
     const char* path = std::getenv("PROXY_CONFIG");
     if (!path) throw Unusable("PROXY_CONFIG is not set");
@@ -99,7 +111,8 @@
     if (!file) throw Unusable(std::string(path) + " can't be read");
     std::string text{std::istreambuf_iterator<char>(file), {}};
     try {
-        return read_launch(text, std::getenv("PROXY_NAME"), std::getenv("PROXY_LISTEN"));
+        return read_launch(text, std::getenv("PROXY_NAME"), std::getenv("PROXY_LISTEN"),
+                           granted_descriptors());
     } catch (const Unusable& error) {
         throw Unusable(std::string(path) + ": " + error.what());
     }
--- a/src/launch/launch.hpp
+++ b/src/launch/launch.hpp
@@ -1,6 +1,7 @@
 // What a router is told at its start: the PROXY_ variables and the file that PROXY_CONFIG names.
 #pragma once
 
+#include <limits>
 #include <map>
 #include <string>
 #include <vector>
@@ -42,9 +43,14 @@
 // missing.
 Neighbourhood read_neighbourhood(const Launch& launch);
 
-Room divide(double memory_mb, int sockets);                                         // throws site::Unusable
-Launch read_launch(const std::string& text, const char* name, const char* listen);  // throws site::Unusable
-Launch from_environment();                                                          // throws site::Unusable
+Room divide(double memory_mb, int sockets);  // throws site::Unusable
+constexpr int any_number = std::numeric_limits<int>::max();
+// What the system grants this process, raised as far as it may be.
+int granted_descriptors();
+// Throws site::Unusable.
+Launch read_launch(const std::string& text, const char* name, const char* listen,
+                   int most_descriptors = any_number);
+Launch from_environment();  // throws site::Unusable
 // The members that only a restart takes in, of those in which two configurations differ. Where the
 // coordinator is can change while the router runs, and it tells what is known by itself.
 std::vector<std::string> wants_restart(const Launch& before, const Launch& after);
--- a/src/node/client.cpp
+++ b/src/node/client.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::size_t most_open = 32;  // calls on one connection, by the protocol
+// For a client to read the last answer and the end after it, there and back.
+constexpr Micros longest_parting = 4 * Client::crossing;
 const std::vector<thrift::Wanted> nothing;
 
 }  // namespace
@@ -22,10 +24,39 @@
               .drained = [] {},
               .closed = [this] { hang_up(); }}) {}
 
-bool Client::over() const { return gone || (closing && idle()); }
+bool Client::over(Micros now) const {
+    return state == State::Gone || (state == State::Ended && now - ended_at >= longest_parting);
+}
+
+bool Client::resting(Micros now) const {
+    if (state != State::Open || !idle() || now - active < crossing) return false;
+    return (frames.held_bytes() == 0 || now - last_byte >= crossing) && !stream.unread();
+}
+
+void Client::end() {
+    stream.shut();
+    state = State::Ended;
+    ended_at = shared.clock.now();
+}
+
+// Guards against a transmission for a client that has closed its connection while its bytes were read: the
+// end is told a pass of the loop later.
+bool Client::waits() {
+    if (state == State::Gone) return false;
+    if (!stream.ended()) return true;
+    hang_up();
+    return false;
+}
 
 void Client::heard(std::string_view bytes) {
-    if (gone || closing) return;
+    if (state == State::Gone) return;
+    // Read on, so that the client's leaving is seen and no close falls on unread bytes; in bounds.
+    if (state != State::Open) {
+        thrown_away += bytes.size();
+        if (thrown_away > thrift::longest_frame) hang_up();
+        return;
+    }
+    last_byte = shared.clock.now();
     try {
         frames.add(bytes);
         while (auto frame = frames.next()) {
@@ -36,8 +67,7 @@
     } catch (const bytes::Malformed& error) {
         // This connection has lost step: what is open on it is still settled, then it is closed.
         log::warning("client connection closed: {}", error.what());
-        closing = true;
-        stream.stop_reading();
+        state = State::Closing;
     }
 }
 
@@ -80,7 +110,7 @@
 }
 
 void Client::answer(std::int32_t seq, std::string_view frame) {
-    if (gone || !settle(seq)) return;
+    if (state == State::Gone || !settle(seq)) return;
     stream.write(frame);
     active = shared.clock.now();
 }
@@ -94,7 +124,7 @@
 }
 
 void Client::hang_up() {
-    gone = true;
+    state = State::Gone;
     for (auto& [seq, one] : open) shared.gathered.emplace_back(Left{{id, seq}, one.lookup});
     open.clear();
     bodies = 0;
--- a/src/node/client.hpp
+++ b/src/node/client.hpp
@@ -24,12 +24,23 @@
     Client(Shared& shared, int fd, ClientId id, std::uint32_t address);
 
     void answer(std::int32_t seq, std::string_view frame);
-    bool over() const;  // to be dropped between passes of the loop
-    void hang_up();     // whatever is open, its client is gone
+    // Nothing is open and nothing unsent, so the connection may be ended; what lies unread is seen to first.
     bool idle() const { return open.empty() && stream.unsent() == 0; }
+    // The client rests, for some time now, and nothing of it is on its way as far as can be seen here.
+    bool resting(Micros now) const;
+    // No answer follows: the client sees the end, and what crosses it is read and thrown away, so that no
+    // reset takes the last answer with it. Only when idle.
+    void end();
+    void hang_up();  // whatever is open, its client is gone
+    bool waits();    // false once the client has closed its connection, told or not
+    // To be let go of between passes of the loop: the far side has closed, or was given its time to.
+    bool over(Micros now) const;
+    bool wants_end() const { return state == State::Closing && idle(); }
+    bool ended() const { return state == State::Ended; }
     bool spoke() const { return has_spoken; }      // has sent a whole message
     Micros last_active() const { return active; }  // when it connected, sent a whole message or was answered
     std::size_t held() const { return stream.unsent() + frames.held_bytes() + bodies; }
+    static constexpr Micros crossing = 50'000;  // by the protocol: what crosses a close by less is sent again
 
 private:
     void heard(std::string_view bytes);
@@ -47,8 +58,13 @@
     };
     std::unordered_map<std::int32_t, Open> open;
     std::size_t bodies = 0;  // bytes that came with the lookups that are open
-    bool gone = false, closing = false, has_spoken = false;
-    Micros active;
+    // Closing: its bytes make no sense any more, what is open is still answered. Ended: no answer follows.
+    // Gone: the client has closed.
+    enum class State { Open, Closing, Ended, Gone };
+    State state = State::Open;
+    bool has_spoken = false;
+    std::size_t thrown_away = 0;  // bytes
+    Micros active, last_byte = 0, ended_at = 0;
     Stream stream;
 };
 
--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -19,8 +20,6 @@
 constexpr Micros ms = 1000, pause_time = 100 * ms, tidy_every = 200 * ms;
 // Clients close a connection that was idle for 4 s, and ask as soon as they have connected.
 constexpr Micros longest_idle = 5000 * ms, longest_mute = 2200 * ms;
-// A lookup that crosses a close by less than this is sent again by its client.
-constexpr Micros still_fresh = 50 * ms;
 
 }  // namespace
 
@@ -87,8 +86,42 @@
     if (found != clients.end()) found->second.answer(caller.seq, frame);
 }
 
+bool Front::waits(const Caller& caller) {
+    auto found = clients.find(caller.client);
+    return found != clients.end() && found->second.waits();
+}
+
+// Guards against lookups on connections that the system has taken and nobody has looked at: closing the
+// listener would reset them.
+void Front::stop_listening() {
+    if (!listener) return;
+    auto fd = evconnlistener_get_fd(listener.get());
+    for (;;) {
+        sockaddr_in from{};
+        socklen_t size = sizeof from;
+        if (clients.size() >= most_clients) return;
+        int taken = ::accept4(fd, reinterpret_cast<sockaddr*>(&from), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (taken >= 0) {
+            accepted(taken, ntohl(from.sin_addr.s_addr));
+            continue;
+        }
+        if (errno == ECONNABORTED || errno == EINTR) continue;
+        if (errno == EMFILE || errno == ENFILE) return;
+        break;
+    }
+    listener.reset();
+}
+
+void Front::part(Micros now) {
+    for (auto& [id, client] : clients)
+        if (client.resting(now)) client.end();
+}
+
 void Front::sweep() {
-    std::erase_if(clients, [](auto& client) { return client.second.over(); });
+    auto now = shared.clock.now();
+    for (auto& [id, client] : clients)
+        if (client.wants_end()) client.end();
+    std::erase_if(clients, [&](auto& client) { return client.second.over(now); });
     drop_unread();
     if (std::exchange(short_of_descriptors, false)) {
         drop_silent();
@@ -97,7 +130,7 @@
     // Guards against lookups that wait unread in the system's queue, on connections that nobody takes: room
     // is made as soon as it is needed, and whoever waits is let in in the same pass.
     if (clients.size() >= most_clients && !drop_silent()) {
-        tidy.set(still_fresh);  // by then there may be one
+        tidy.set(Client::crossing);  // by then there may be one
         if (!std::exchange(told_of_pause, true))
             log::warning("no new client connections: all that descriptors allow are at work");
     } else if (paused && !again.pending()) {
@@ -124,28 +157,33 @@
 // Guards against connections that are kept for nothing: of a client that has not sent one whole message in
 // time, or that has been idle for longer than a client that means to come back.
 void Front::drop_overdue(Micros now) {
-    std::erase_if(clients, [&](auto& entry) {
-        auto& client = entry.second;
-        return client.idle() && now - client.last_active() >= (client.spoke() ? longest_idle : longest_mute);
-    });
+    for (auto& [id, client] : clients) {
+        auto longest = client.spoke() ? longest_idle : longest_mute;
+        if (client.resting(now) && now - client.last_active() >= longest) client.end();
+        // One that never ends what it sends does not rest.
+        if (!client.ended() && client.idle() && now - client.last_active() >= 2 * longest) client.hang_up();
+    }
+    std::erase_if(clients, [&](auto& entry) { return entry.second.over(now); });
 }
 
-// Guards against clients that connect and stay until no descriptor is left for others: the one with nothing
-// open that was silent longest makes way. One that was active a moment ago may have a lookup on the way.
+// Guards against clients that connect and stay until no descriptor is left for others: one that was told of
+// its end already makes way, else the one with nothing open that was silent longest. One that was active a
+// moment ago may have a lookup on the way, and what lies unread is read first.
 bool Front::drop_silent() {
+    auto now = shared.clock.now();
     auto longest = clients.end();
-    for (auto client = clients.begin(); client != clients.end(); client++)
-        if (client->second.idle() &&
-            (longest == clients.end() || client->second.last_active() < longest->second.last_active()))
-            longest = client;
-    if (longest == clients.end() || shared.clock.now() - longest->second.last_active() < still_fresh)
-        return false;
+    for (auto client = clients.begin(); client != clients.end(); client++) {
+        auto& one = client->second;
+        if (!one.ended() && !one.resting(now)) continue;
+        if (longest != clients.end() &&
+            std::pair(!one.ended(), one.last_active()) >=
+                std::pair(!longest->second.ended(), longest->second.last_active()))
+            continue;
+        longest = client;
+    }
+    if (longest == clients.end()) return false;
     clients.erase(longest);
     return true;
 }
 
-bool Front::idle() const {
-    return std::all_of(clients.begin(), clients.end(), [](auto& client) { return client.second.idle(); });
-}
-
 }  // namespace quillgrade::node
--- a/src/node/front.hpp
+++ b/src/node/front.hpp
@@ -11,13 +11,16 @@
 public:
     Front(Client::Shared shared, int most_clients, std::size_t most_held);
     void listen(const feed::Address& at);  // throws std::runtime_error
-    void stop_listening() { listener.reset(); }
+    // Whoever has connected by now is let in; where there is no room for all, to be called again.
+    void stop_listening();
+    void part(Micros now);  // ends the connections that rest; to be called until all have parted
+    bool all_parted() const { return clients.empty() && !listener; }
+    bool waits(const Caller& caller);  // as far as its connection tells now
     void want(const std::vector<thrift::Wanted>* fields) { shared.wanted = fields; }
     void set_ready(bool ready) { shared.ready = ready; }
     void answer(const Caller& caller, std::string_view frame);
     void sweep();  // between passes of the loop
     void drop_overdue(Micros now);
-    bool idle() const;  // nothing open and nothing unsent
     std::size_t connected() const { return clients.size(); }
 
 private:
--- a/src/node/link.cpp
+++ b/src/node/link.cpp
@@ -3,13 +3,13 @@
 #include <algorithm>
 #include <utility>
 
-#include "shared/flaw.hpp"
-
 namespace quillgrade::node {
 
 namespace {
 
 constexpr double idle_share = 0.9;  // of the far side's time, so that it is never the first to close
+// By the protocol, what crosses an end on the wire comes within this. A second answer may come so late.
+constexpr Micros crossing = 50'000;
 
 }  // namespace
 
@@ -26,11 +26,10 @@
               .drained = [] {},
               .closed = [this] { closed(); }}) {}
 
-void Link::run(const Errand& wanted, http::Request wanted_request) {
+void Link::run(const Errand& wanted) {
     errand = wanted;
-    request = std::move(wanted_request);
     if (connected) {
-        ask();
+        come_up();
         return;
     }
     state = State::Opening;
@@ -41,18 +40,22 @@
 
 void Link::opened() {
     connected = true;
-    if (state == State::Opening) ask();
+    if (state == State::Opening) come_up();
+}
+
+void Link::come_up() {
+    state = State::Ready;
+    shared.ready(*this);
 }
 
-// Written only now, when the budget is known: it would pass the client's time by what connecting took.
-void Link::ask() {
-    if (errand.good_until > 0) shared::may_stop_here();
+// The budget is known only now: it would pass the client's time by what connecting took.
+void Link::ask(const http::Request& request) {
     Micros budget = errand.limit - shared.clock.now();
     // A right is looked up again here. Guards against what a stopped process, or a connection that came up
     // late, would send when others hold the right already.
     bool over = errand.good_until > 0 && Clock::steady() > errand.good_until;
     if (budget < 1000 || over) {
-        finish(Outcome::Moot);
+        refuse();
         return;
     }
     state = State::Busy;
@@ -60,12 +63,22 @@
     timer.set(budget);
 }
 
+// The connection is as good as before, and stays.
+void Link::refuse() { finish(Outcome::Moot, {}, true); }
+
+bool Link::rested() const { return shared.clock.now() - idle_since >= crossing; }
+
 void Link::heard(std::string_view bytes) {
     if (state == State::Dead) return;
     if (state == State::Idle) {  // nothing was asked
         state = State::Dead;
         return;
     }
+    // Guards against an answer that nobody has asked for yet: it would be taken for that of the first lookup.
+    if (state == State::Opening || state == State::Ready) {
+        finish(Outcome::Moot);
+        return;
+    }
     try {
         if (!reader.add(bytes)) return;
     } catch (const bytes::Malformed&) {
@@ -78,7 +91,7 @@
 }
 
 void Link::closed() {
-    if (state == State::Opening)
+    if (state == State::Opening || state == State::Ready)
         finish(Outcome::Unconnected);
     else if (state == State::Busy)
         finish(Outcome::Reset);
@@ -92,29 +105,34 @@
     } else if (state == State::Opening) {
         // Told by which of the two times came first: timers may be some milliseconds early.
         finish(opening_ends <= errand.limit ? Outcome::Unconnected : Outcome::Moot);
+    } else if (state == State::Ready) {
+        finish(Outcome::Moot);
     } else if (state == State::Busy) {
         finish(Outcome::Timeout);
     }
 }
 
 void Link::give_up() {
-    if (state == State::Opening)
+    if (state == State::Opening || state == State::Ready)
         finish(Outcome::Moot);
     else if (state == State::Busy)
         finish(Outcome::Cancelled);
 }
 
 void Link::drop() {
-    if (state == State::Opening || state == State::Busy)
+    if (state == State::Opening || state == State::Ready)
+        finish(Outcome::Moot);
+    else if (state == State::Busy)
         finish(Outcome::Reset);
     else
         state = State::Dead;
 }
 
-void Link::finish(Outcome outcome, http::Reply reply) {
+void Link::finish(Outcome outcome, http::Reply reply, bool untouched) {
     bool answered = reply.status != 0 && !reply.closes;
-    state = answered ? State::Idle : State::Dead;
-    if (answered)
+    if (answered) idle_since = shared.clock.now();
+    state = answered || untouched ? State::Idle : State::Dead;
+    if (state == State::Idle)
         timer.set(static_cast<Micros>(idle_share * static_cast<double>(shared.terms.idle_time)));
     else
         timer.stop();
--- a/src/node/link.hpp
+++ b/src/node/link.hpp
@@ -27,13 +27,19 @@
         const site::Terms& terms;
         Clock& clock;
         Ended ended;
+        std::function<void(Link&)> ready;  // it is connected and waits for ask() or refuse()
     };
     Link(const Shared& shared, CacheId cache, const feed::Address& address, std::uint64_t process);
 
-    void run(const Errand& errand, http::Request request);
-    void give_up();  // the errand is no longer wanted: the connection is closed
-    void drop();     // the connection is closed; an errand that is out ends as broken
+    void run(const Errand& errand);          // nothing is written yet
+    void ask(const http::Request& request);  // what was decided still holds: writes it
+    void refuse();                           // it doesn't: the errand ends, and nothing ran
+    void give_up();                          // the errand is no longer wanted: the connection is closed
+    void drop();                             // the connection is closed; an errand that is out ends as broken
     bool usable() const { return state == State::Idle && !stream.dropped(); }
+    // Whether what may still have been on its way after the last answer has come by now.
+    bool rested() const;
+    bool ready() const { return state == State::Ready; }
     bool idle() const { return state == State::Idle; }
     bool dead() const { return state == State::Dead; }
     std::size_t coming() const { return state == State::Busy ? reader.held_bytes() : 0; }
@@ -43,20 +49,20 @@
     Errand errand;
 
 private:
-    enum class State { Opening, Busy, Idle, Dead };
+    // Ready: connected, and nothing written before the turn has looked at the errand again.
+    enum class State { Opening, Ready, Busy, Idle, Dead };
     void opened();
+    void come_up();
     void heard(std::string_view bytes);
     void closed();
     void timed_out();
-    void finish(Outcome outcome, http::Reply reply = {});
-    void ask();
+    void finish(Outcome outcome, http::Reply reply = {}, bool untouched = false);
 
     const Shared& shared;
     feed::Address address;
     State state = State::Idle;
     bool connected = false;
-    Micros opening_ends = 0;
-    http::Request request;
+    Micros opening_ends = 0, idle_since = 0;
     http::ReplyReader reader;
     Timer timer;
     Stream stream;
--- a/src/node/loop.cpp
+++ b/src/node/loop.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <new>
 #include <utility>
 
@@ -44,12 +45,28 @@
     return true;
 }
 
-bool Stream::dropped() const {
+namespace {
+
+enum class Next { Nothing, Bytes, End };
+
+Next next_of(int fd) {
     char byte;
-    auto got = ::recv(bufferevent_getfd(buffer.get()), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+    auto got = ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (got > 0) return Next::Bytes;
+    if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) return Next::Nothing;
+    return Next::End;
 }
 
+}  // namespace
+
+bool Stream::dropped() const { return next_of(bufferevent_getfd(buffer.get())) != Next::Nothing; }
+
+bool Stream::unread() const { return next_of(bufferevent_getfd(buffer.get())) == Next::Bytes; }
+
+bool Stream::ended() const { return next_of(bufferevent_getfd(buffer.get())) == Next::End; }
+
+void Stream::shut() { ::shutdown(bufferevent_getfd(buffer.get()), SHUT_WR); }
+
 // The owner may let go of its stream only between passes of the loop, never in one of these calls.
 void Stream::on_read(bufferevent* buffer, void* self) {
     auto* input = bufferevent_get_input(buffer);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -76,6 +76,11 @@
         if (!*signal || evsignal_add(signal->get(), nullptr)) throw std::bad_alloc();
 }
 
+void Node::told_before(bool leave, bool read) {
+    if (leave) told_to_leave();
+    told_to_read |= read;
+}
+
 Micros Node::longest_stay(Micros longest_wait) {
     return std::min(longest_wait, longest_counted) + before_kill - to_spare;
 }
@@ -105,12 +110,19 @@
     if (sharing) sharing->pass(gathered, 0, now);
     turn.take(std::exchange(gathered, {}), now);
     turn.tend(now);
+    event_base_loop(base.get(), EVLOOP_ONCE | EVLOOP_NONBLOCK);
+    if (leave_at > 0) {  // nobody could connect so far
+        log::info("over before it listened");
+        return;
+    }
     front.listen(launch.listen);
     while (phase != Phase::Over) {
         step();
         if (phase == Phase::Over) break;
         bool idle = gathered.empty() && !(steering && steering->busy()) && !loading;
         event_base_loop(base.get(), idle ? EVLOOP_ONCE : EVLOOP_ONCE | EVLOOP_NONBLOCK);
+        // What lies right behind a lookup, its client's leaving above all, is heard in the same turn.
+        if (!gathered.empty()) event_base_loop(base.get(), EVLOOP_ONCE | EVLOOP_NONBLOCK);
     }
 }
 
@@ -125,10 +137,14 @@
     if (sharing) sharing->pass(gathered, coordinator.live_since(), now);
     turn.take(std::exchange(gathered, {}), now);
     if (peers) peers->pass(turn.counts(), now);
+    if (phase == Phase::Finishing) {
+        front.stop_listening();
+        front.part(now);
+    }
     front.sweep();
     pool.sweep();
     Seen seen{now, leave_at, last_arrival, longest_stay(launch.terms.longest_wait),
-              turn.held() == 0 && front.idle()};
+              turn.held() == 0 && front.all_parted()};
     if (phase == Phase::Finishing && turn.held() > 0 && now - leave_at >= seen.longest_stay) {
         log::warning("broken off at the end: {} lookups", turn.held());
         turn.break_off_all();
@@ -144,7 +160,6 @@
         turn.leave(leave_at + seen.longest_stay);
         check.set(check_every);
     }
-    if (phase == Phase::Finishing) front.stop_listening();
     if (phase == Phase::Finishing && steering) steering->stop();
     if (phase == Phase::Over && peers) peers->gone(now);
     if (phase == Phase::Over && sharing) sharing->say_all();
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -29,7 +29,8 @@
     // and may throw; null: there is no such file.
     explicit Node(const launch::Launch& launch, operate::Plan plan = {},
                   std::function<operate::Plan()> plan_again = nullptr);
-    void run();  // until Over
+    void told_before(bool leave, bool read);  // what signals have told before there was a node
+    void run();                               // until Over
 
     // The phase that follows, from what has happened so far.
     struct Seen {
--- a/src/node/pool.cpp
+++ b/src/node/pool.cpp
@@ -1,6 +1,7 @@
 #include "node/pool.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <unordered_set>
 
 #include "log/log.hpp"
@@ -12,9 +13,10 @@
     : gathered(gathered),
       most_links(static_cast<std::size_t>(most_links)),
       most_coming(most_coming),
-      shared{base, terms, clock, [this](Link& link, Outcome outcome, http::Reply reply) {
-                 ended(link, outcome, std::move(reply));
-             }} {}
+      shared{
+          base, terms, clock,
+          [this](Link& link, Outcome outcome, http::Reply reply) { ended(link, outcome, std::move(reply)); },
+          [this](Link& link) { ready.push_back(&link); }} {}
 
 void Pool::list(const feed::Listing& listing) {
     std::unordered_set<CacheId> listed;
@@ -55,7 +57,7 @@
     place.idle.clear();
 }
 
-void Pool::send(CacheId cache, const Errand& errand, http::Request request) {
+void Pool::send(CacheId cache, const Errand& errand) {
     auto found = places.find(cache);
     Link* link = found == places.end() ? nullptr : idle_link(found->second);
     if (!link && found != places.end() && make_room()) {
@@ -67,18 +69,38 @@
         return;
     }
     if (errand.round >= 0) out[{errand.lookup, errand.round}] = link;
-    link->run(errand, std::move(request));
+    link->run(errand);
 }
 
-// A connection that the far side has dropped meanwhile is passed over: that says nothing of the lookup.
-Link* Pool::idle_link(Place& place) {
-    while (!place.idle.empty()) {
-        auto* link = place.idle.back();
-        place.idle.pop_back();
-        if (link->usable()) return link;
-        link->drop();
+// A connection may have come up long after its errand was decided: to a process that has gone or moved since,
+// or for what must not be sent any more.
+void Pool::write(const Writer& request_of) {
+    for (auto* link : std::exchange(ready, {})) {
+        if (!link->ready()) continue;
+        auto place = places.find(link->cache);
+        bool there = place != places.end() && place->second.process == link->process;
+        auto request = there ? request_of(link->cache, link->errand) : std::nullopt;
+        if (request)
+            link->ask(*request);
+        else
+            link->refuse();
     }
-    return nullptr;
+}
+
+// A connection that the far side has dropped meanwhile is passed over: that says nothing of the lookup. So is
+// one that was answered a moment ago. Guards against a second answer on its way, which would be taken for
+// that of the next lookup.
+Link* Pool::idle_link(Place& place) {
+    std::erase_if(place.idle, [](auto* link) {
+        if (!link->usable()) link->drop();
+        return link->dead();
+    });
+    auto rested =
+        std::find_if(place.idle.rbegin(), place.idle.rend(), [](auto* link) { return link->rested(); });
+    if (rested == place.idle.rend()) return nullptr;
+    auto* link = *rested;
+    place.idle.erase(std::next(rested).base());
+    return link;
 }
 
 // Descriptors are bounded: an idle connection makes way for one that is needed.
@@ -140,6 +162,7 @@
     bound_coming();
     if (std::none_of(all.begin(), all.end(), [](auto& link) { return link->dead(); })) return;
     for (auto& [cache, place] : places) std::erase_if(place.idle, [](auto* link) { return !link->idle(); });
+    std::erase_if(ready, [](auto* link) { return link->dead(); });
     std::erase_if(all, [](auto& link) { return link->dead(); });
 }
 
--- a/src/node/pool.hpp
+++ b/src/node/pool.hpp
@@ -1,8 +1,10 @@
 // All connections to caches, parents and the origin, kept by the id of the cache that they lead to.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -18,7 +20,12 @@
     Pool(event_base* base, const site::Terms& terms, Clock& clock, Gathered& gathered, int most_links,
          std::size_t most_coming);
     void list(const feed::Listing& listing);
-    void send(CacheId cache, const Errand& errand, http::Request request);
+    // Looks for a connection to the cache; what is to be written is asked for once there is one.
+    void send(CacheId cache, const Errand& errand);
+    // For each errand whose connection is there: what to write, or nothing if it must not go out any more.
+    using Writer = std::function<std::optional<http::Request>(CacheId, const Errand&)>;
+    void write(const Writer& request_of);
+    std::size_t to_write() const { return ready.size(); }
     void give_up(LookupId lookup, int round);
     void sweep();  // between passes of the loop
     std::size_t links() const { return all.size(); }
@@ -47,6 +54,7 @@
     Link::Shared shared;
     std::unordered_map<CacheId, Place> places;
     std::vector<std::unique_ptr<Link>> all;
+    std::vector<Link*> ready;  // connected, and nothing written yet
     std::map<std::pair<LookupId, int>, Link*> out;
 };
 
--- a/src/node/turn.cpp
+++ b/src/node/turn.cpp
@@ -27,9 +27,9 @@
     for (auto& one : answers) carry_out(one);
     answers.clear();
     for (auto cache : probes)
-        pool.send(cache, {.lookup = 0, .round = -1, .sent = now, .limit = now + terms.connect_time},
-                  http::probe());
+        pool.send(cache, {.lookup = 0, .round = -1, .sent = now, .limit = now + terms.connect_time});
     probes.clear();
+    pool.write([this](CacheId cache, const Errand& errand) { return still_wanted(cache, errand); });
 }
 
 void Turn::tell(Arrived& arrived) {
@@ -66,8 +66,10 @@
     if (!handle) return;
     auto found = open.find(landed.lookup);
     auto& reply = landed.reply;
-    // The client's copy holds: only a client that has one can be told so.
-    if (reply.status == 304 && (found == open.end() || found->second.have.empty()))
+    // The client's copy holds: only a client that has one can be told so, and only of the copy that was
+    // named.
+    if (reply.status == 304 &&
+        (found == open.end() || found->second.have.empty() || found->second.have != reply.tag))
         landed.outcome = Outcome::Error;
     bool owed = found != open.end() && !found->second.answered;
     bool handles = owed && landed.outcome == Outcome::Ok;
@@ -238,14 +240,30 @@
 void Turn::send(Open& lookup, const Transmission& order) {
     Micros limit = lookup.facts.due;
     if (order.limit > 0) limit = std::min(limit, now + order.limit);
-    int round = lookup.rounds++;
+    int round = static_cast<int>(lookup.orders.size());
+    lookup.orders.push_back(order);
     if (lookup.answered) {  // its final answer comes later in this turn: nothing is sent any more
         gathered.emplace_back(Landed{lookup.facts.id, round, order.cache, Outcome::Moot, now, {}});
         return;
     }
-    pool.send(order.cache, {lookup.facts.id, round, now, limit, good_until(order)},
-              http::transmission(lookup.facts, order, terms.traffic[lookup.facts.traffic], 
-                                 {lookup.have, lookup.ticket, lookup.body}));
+    pool.send(order.cache, {lookup.facts.id, round, now, limit, good_until(order)});
+}
+
+// What was decided earlier, maybe long ago, is about to be written: all that has been told since is heeded.
+std::optional<http::Request> Turn::still_wanted(CacheId cache, const Errand& errand) {
+    if (errand.round < 0) {
+        auto* server = find_server(router, cache);
+        if (!server || server->listed != Listed::Ready) return std::nullopt;
+        return http::probe();
+    }
+    auto found = open.find(errand.lookup);
+    auto handle = router.find(errand.lookup);
+    if (found == open.end() || found->second.answered || !handle) return std::nullopt;
+    auto& lookup = found->second;
+    if (!front.waits(lookup.caller) || !handle->confirm(errand.round, lookup.orders[errand.round], now))
+        return std::nullopt;
+    return http::transmission(lookup.facts, lookup.orders[errand.round], terms.traffic[lookup.facts.traffic],
+                              {lookup.have, lookup.ticket, lookup.body});
 }
 
 void Turn::break_off_all() {
--- a/src/node/turn.hpp
+++ b/src/node/turn.hpp
@@ -44,8 +44,8 @@
         std::string have, ticket, body;
         Micros taken;
         bool answered = false;
-        int rounds = 0;      // transmissions so far
-        Micros look_at = 0;  // 0: no look is due
+        std::vector<Transmission> orders;  // of the transmissions so far
+        Micros look_at = 0;                // 0: no look is due
         Timer look;
     };
     // What the module answered about one lookup, and the reply that it is about, if that handles it.
@@ -74,6 +74,7 @@
     void made(Made one);
     void carry_out(Made& made);
     void send(Open& lookup, const Transmission& order);
+    std::optional<http::Request> still_wanted(CacheId cache, const Errand& errand);
 
     event_base* base;
     const site::Terms& terms;
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -505,6 +505,120 @@
     CHECK(within_cold_budget(r, cold, 100e3, noon + 900 * test_ms));
 }
 
+// Guards against routers that are killed and started again: each would spend its part of a window twice.
+TEST_CASE("rule 4: a router that has just started takes what its last life may have spent for spent") {
+    auto facts = a_site();
+    facts.ratings_are_links = true;
+    auto r = router(facts);
+    auto& cold = *find_server(r, 1);
+    cold.started = noon - 300 * test_ms;
+    CHECK(within_cold_budget(r, cold, 100e3, noon));
+    r.born = noon;
+    CHECK_FALSE(within_cold_budget(r, cold, 100e3, noon));
+    CHECK_FALSE(within_cold_budget(r, cold, 400e3, noon + 500 * test_ms));
+    CHECK(within_cold_budget(r, cold, 100e3, noon + test_second));
+}
+
+// Guards against probes by many routers, which alone would push over a server that has just started.
+TEST_CASE("rule 4: a probe of a cold server is paid for from its budget") {
+    auto facts = a_site();
+    facts.ratings_are_links = true;
+    auto r = router(facts);
+    r.traffic[0].sizes = Samples(9, {noon, 100e3});
+    auto& cold = *find_server(r, 1);
+    r.told_in_answers = true;
+    cold.started = noon - 300 * test_ms;
+    cold.unreached_at = noon - test_ms;
+    CHECK(r.tend(noon).probe == std::vector<CacheId>{1});
+    CHECK(cold.spent.size() == 1);
+    cold.spent = {{noon, 700e3}};
+    cold.last_probe = 0;
+    CHECK(r.tend(noon + 600 * test_ms).probe.empty());
+}
+
+// What is written when a connection comes up was decided before: each case is a crossing.
+struct Decided {
+    Router r = router();
+    Handle handle = r.take(lookup(9), noon);
+    Transmission order = *handle.place(noon).send;
+    bool confirmed(Micros at = noon + 300 * test_ms) { return handle.confirm(0, order, at); }
+    Server& cache() { return *find_server(r, order.cache); }
+    Server& source() { return *find_server(r, order.source); }
+    void told(Server& server, Listed listed, Micros started = 0) {
+        auto changed = entry(server.id, server.kind, server.zone);
+        changed.listed = listed;
+        changed.started = started;
+        r.list({changed}, false, noon);
+    }
+};
+
+TEST_CASE("a transmission is confirmed as it was decided, once nothing has changed") {
+    Decided one;
+    CHECK(one.confirmed());
+    CHECK(one.order.oldest == 0);
+}
+
+TEST_CASE("rule 1: no transmission is confirmed for a lookup that is over, or out of time") {
+    Decided left, late;
+    left.handle.left();
+    CHECK_FALSE(left.confirmed());
+    CHECK_FALSE(late.confirmed(noon + 4 * test_second));
+}
+
+TEST_CASE(
+    "rule 3: no transmission is confirmed to a server that drains or has gone, nor from such a source") {
+    for (auto listed : {Listed::Draining, Listed::Gone}) {
+        Decided at, from;
+        REQUIRE(at.order.source != at.order.cache);
+        at.told(at.cache(), listed);
+        CHECK_FALSE(at.confirmed());
+        from.told(from.source(), listed);
+        CHECK_FALSE(from.confirmed());
+    }
+}
+
+TEST_CASE("rule 4: no transmission is confirmed to a server that has started since it was decided") {
+    Decided at, from;
+    at.told(at.cache(), Listed::Ready, noon);
+    CHECK_FALSE(at.confirmed());
+    from.told(from.source(), Listed::Ready, noon);
+    CHECK_FALSE(from.confirmed());
+}
+
+TEST_CASE("rule 4: what reaches a cold server late counts from when it does") {
+    auto r = router();
+    r.traffic[0].sizes = Samples(9, {noon, 100e3});
+    for (auto& server : r.servers) server.started = noon - 5 * test_second;
+    for (auto& server : r.servers) server.finished = Samples(9, {noon - test_ms, 100e3});
+    auto handle = r.take(lookup(9), noon);
+    auto order = *handle.place(noon).send;
+    REQUIRE(find_server(r, order.cache)->spent.size() == 1);
+    CHECK(handle.confirm(0, order, noon + 300 * test_ms));
+    CHECK(find_server(r, order.cache)->spent[0].at == noon + 300 * test_ms);
+    CHECK(find_server(r, order.source)->spent[0].at == noon + 300 * test_ms);
+}
+
+TEST_CASE("rule 5: a purge that is told while the connection comes up bounds the age that will do") {
+    Decided one;
+    one.r.purged(77, 3, 0, noon + 100 * test_ms);
+    CHECK(one.confirmed(noon + 300 * test_ms));
+    CHECK(one.order.oldest == 200 * test_ms);
+}
+
+TEST_CASE("rule 2: a ticket's window is looked at when the next transmission is written") {
+    auto facts = a_site();
+    facts.traffic[0].effect = Effect::Ticketed;
+    facts.traffic[0].window = 200 * test_ms;
+    auto r = router(facts);
+    auto handle = r.take(lookup(9), noon);
+    auto first = *handle.place(noon).send;
+    auto next = handle.ended(end(Outcome::Reset, first.cache), noon + 100 * test_ms);
+    REQUIRE(next.send);
+    auto order = *next.send;
+    CHECK(handle.confirm(1, order, noon + 199 * test_ms));
+    CHECK_FALSE(handle.confirm(1, order, noon + 200 * test_ms));
+}
+
 TEST_CASE("rule 5: a purge of the object or its group bounds the age that will do") {
     auto r = router();
     r.purged(0, 3, 40 * test_ms, noon);
--- /dev/null
+++ b/tests/front_test.cpp
@@ -0,0 +1,153 @@
+// Clients' connections: who is let in, who is let go, and what one client can cost.
+#include "quiet.hpp"
+
+using namespace quillgrade;
+using namespace quillgrade::node;
+
+// Guards against clients that connect and say nothing until nobody else is let in.
+TEST_CASE("a silent connection makes way for another, one with a lookup open does not") {
+    Quiet quiet;
+    int port = quiet.listen();
+    Socket busy, silent[7], late;
+    REQUIRE(busy.connect(port));
+    REQUIRE(busy.send(invoke(1, call_fields())));
+    quiet.pump([&] { return !quiet.gathered.empty(); });
+    for (auto& one : silent) REQUIRE(one.connect(port));
+    quiet.pump([&] { return quiet.front.connected() == 8; });
+    quiet.front.sweep();  // the last of them may have a lookup on the way
+    CHECK(quiet.front.connected() == 8);
+    auto start = quiet.clock.now();
+    quiet.pump([&] { return quiet.clock.now() - start > 60 * test_ms; });
+    quiet.front.sweep();
+    CHECK(quiet.front.connected() == 7);
+    REQUIRE(late.connect(port));
+    quiet.pump([&] { return quiet.front.connected() == 8; });
+    CHECK(quiet.gathered_of<Left>().empty());
+}
+
+// Guards against lookups that wait in the system's queue while each pause lets in one connection more, which
+// its client has long closed.
+TEST_CASE("connections that end at once hold up nobody behind them") {
+    Quiet quiet;
+    int port = quiet.listen();
+    Socket busy[7], late;
+    for (int i = 0; i < 7; i++) {
+        auto fields = call_fields();
+        fields["i"].back() = static_cast<char>('0' + i);
+        REQUIRE(busy[i].connect(port));
+        REQUIRE(busy[i].send(invoke(1, fields)));
+    }
+    quiet.pump([&] { return quiet.gathered_of<Arrived>().size() == 7; });
+    for (int i = 0; i < 40; i++) REQUIRE(Socket().connect(port));
+    REQUIRE(late.connect(port));
+    REQUIRE(late.send(invoke(1, call_fields())));
+    auto start = quiet.clock.now();
+    quiet.pump([&] {
+        quiet.front.sweep();
+        return quiet.gathered_of<Arrived>().size() == 8;
+    });
+    CHECK(quiet.clock.now() - start < test_second);
+}
+
+// Guards against connections that are kept for nothing, and against letting go of one that is at work.
+TEST_CASE("a client that says nothing is let go, later one that was idle, never one with a lookup open") {
+    Quiet quiet;
+    int port = quiet.listen();
+    Socket busy, idle, half;
+    for (auto* one : {&busy, &idle, &half}) REQUIRE(one->connect(port));
+    REQUIRE(busy.send(invoke(1, call_fields())));
+    REQUIRE(half.send(invoke(1, call_fields()).substr(0, 30)));
+    REQUIRE(idle.send(framed(head(1, "ping", 1) + std::string(1, '\0'))));
+    quiet.pump([&] { return !quiet.gathered.empty() && Quiet::readable(idle); });
+    quiet.front.drop_overdue(quiet.clock.now() + test_second);
+    CHECK(quiet.front.connected() == 3);
+    quiet.front.drop_overdue(quiet.clock.now() + 3 * test_second);
+    CHECK(quiet.front.connected() == 2);
+    quiet.front.drop_overdue(quiet.clock.now() + 60 * test_second);
+    CHECK(quiet.front.connected() == 1);
+    CHECK(quiet.gathered_of<Left>().empty());
+}
+
+// Guards against descriptors that run out below the limit told, all held by clients that say nothing.
+TEST_CASE("a silent connection makes way when the system has no descriptor for the next") {
+    Quiet quiet;
+    int port = quiet.listen();
+    Socket silent, late;
+    REQUIRE(silent.connect(port));
+    quiet.pump([&] { return quiet.front.connected() == 1; });
+    rlimit before{};
+    REQUIRE(getrlimit(RLIMIT_NOFILE, &before) == 0);
+    int lowest_free = dup(late.fd);
+    close(lowest_free);
+    rlimit none = before;
+    none.rlim_cur = static_cast<rlim_t>(lowest_free);
+    REQUIRE(setrlimit(RLIMIT_NOFILE, &none) == 0);
+    REQUIRE(late.connect(port));
+    quiet.pump([&] {
+        quiet.front.sweep();
+        return quiet.front.connected() == 0;
+    });
+    quiet.pump([&] { return quiet.front.connected() == 1; });
+    CHECK(setrlimit(RLIMIT_NOFILE, &before) == 0);
+}
+
+// Guards against memory that fills with answers which nobody reads.
+TEST_CASE("a client that does not read is hung up on past the bound") {
+    Quiet quiet;
+    int port = quiet.listen();
+    Socket client;
+    REQUIRE(client.connect(port));
+    REQUIRE(client.send(invoke(1, call_fields()) + invoke(2, call_fields())));
+    quiet.pump([&] { return quiet.gathered.size() == 2; });
+    quiet.front.answer({1, 1}, std::string(2'000'000, 'x'));
+    quiet.front.sweep();
+    CHECK(quiet.front.connected() == 0);
+    CHECK(quiet.gathered_of<Left>().size() == 1);
+}
+
+// Guards against memory that fills with what clients send.
+TEST_CASE("a client that sends more than the bound at once is hung up on") {
+    Quiet quiet;
+    int port = quiet.listen();
+    Socket client;
+    REQUIRE(client.connect(port));
+    for (int seq = 1; seq <= 6; seq++) {
+        REQUIRE(client.send(invoke(seq, call_fields(), std::string(200'000, 'x'))));
+        quiet.pump([&] { return quiet.gathered_of<Arrived>().size() == static_cast<std::size_t>(seq); });
+    }
+    quiet.front.sweep();
+    CHECK(quiet.front.connected() == 0);
+    CHECK(quiet.gathered_of<Left>().size() == 6);
+}
+
+// Guards against lookups that hold their room for as long as a client likes.
+TEST_CASE("a time limit far beyond the settings is not taken") {
+    Quiet quiet;
+    int port = quiet.listen();
+    Socket client;
+    REQUIRE(client.connect(port));
+    auto fields = call_fields();
+    fields["d"] = "12001";
+    REQUIRE(client.send(invoke(1, fields)));
+    quiet.pump([&] { return Quiet::readable(client); });
+    CHECK(frame(client) == thrift::broken_off(1));
+    CHECK(quiet.gathered.empty());
+}
+
+// Guards against a bad frame that takes more than its own connection with it.
+TEST_CASE("a client that sends nonsense is let go once what is open has been answered") {
+    Quiet quiet;
+    int port = quiet.listen();
+    Socket client;
+    REQUIRE(client.connect(port));
+    REQUIRE(client.send(invoke(1, call_fields()) + "GET / HTTP/1.1\r\n\r\n"));
+    quiet.pump([&] { return !quiet.gathered.empty(); });
+    quiet.front.sweep();
+    CHECK(quiet.front.connected() == 1);
+    quiet.front.answer({1, 1}, thrift::broken_off(1));
+    quiet.pump([&] {
+        quiet.front.sweep();
+        return quiet.front.connected() == 0;
+    });
+    CHECK(quiet.gathered_of<Left>().empty());
+}
--- /dev/null
+++ b/tests/late_connection_test.cpp
@@ -0,0 +1,144 @@
+// A connection that comes up late: what was decided before is looked at again when the first byte is written.
+// Each case is told between the decision and the first byte, once before the loop knows that the connection
+// is up and once after.
+#include "crossing.hpp"
+
+using namespace quillgrade;
+using namespace quillgrade::node;
+
+namespace {
+
+// Nothing may be written, and the client gets a final answer or needs none.
+template <class Event>
+void nothing_is_written(Event event) {
+    for (bool up : {false, true}) {
+        CAPTURE(up);
+        Crossing one;
+        up ? one.opened() : one.opening();
+        event(one);
+        one.act();  // with no pass of the loop since
+        one.steps([&] { return one.turn.held() == 0; });
+        auto link = accept(one.cache);
+        for (int i = 0; i < 5; i++) one.step();
+        CHECK(one.asked_nothing(link));
+    }
+}
+
+}  // namespace
+
+TEST_CASE("a connection that nothing crosses carries the lookup") {
+    Crossing one;
+    one.opened();
+    one.act();
+    auto link = accept(one.cache);
+    one.steps([&] { return Quiet::readable(link); });
+    CHECK(request(link).find("X-Hop-Id: 9b1f03aa5c7e2d41") != std::string::npos);
+}
+
+TEST_CASE("nothing is written to a cache that drains by now, and the client is answered") {
+    nothing_is_written(
+        [](Crossing& one) { one.told(one.change(one.endpoint(Crossing::cache_id, Listed::Draining))); });
+}
+
+TEST_CASE("nothing is written to a cache that has gone, even where its place is taken already") {
+    nothing_is_written(
+        [](Crossing& one) { one.told(one.change(one.endpoint(Crossing::cache_id, Listed::Gone))); });
+    // The same address under the same id is another process all the same.
+    nothing_is_written([](Crossing& one) {
+        auto again = one.endpoint(Crossing::cache_id);
+        one.told(one.change(one.endpoint(Crossing::cache_id, Listed::Gone)));
+        again.entry.listed = Listed::Draining;
+        one.told(one.change(again));
+    });
+}
+
+TEST_CASE("nothing is written that names a source which drains by now") {
+    nothing_is_written([](Crossing& one) {
+        one.told(one.change(one.endpoint(Crossing::parent_id, Listed::Draining)));
+        one.told(one.change(one.endpoint(Crossing::cache_id, Listed::Draining)));  // nor by a further try
+    });
+    Crossing one;
+    one.opened();
+    one.told(one.change(one.endpoint(Crossing::parent_id, Listed::Draining)));
+    one.steps([&] { return Quiet::readable(one.cache); });
+    auto link = accept(one.cache);
+    one.steps([&] { return Quiet::readable(link); });
+    CHECK(request(link).find("X-Parent: s-00000014") != std::string::npos);  // the origin, decided anew
+}
+
+TEST_CASE("nothing is written on a connection to a process that has been started again since") {
+    Crossing one;
+    one.opened();
+    one.told(one.change(one.endpoint(Crossing::cache_id, Listed::Ready, one.clock.now())));
+    auto link = accept(one.cache);
+    for (int i = 0; i < 5; i++) one.step();
+    CHECK(one.asked_nothing(link));
+}
+
+TEST_CASE("a purge that is told meanwhile bounds the age that is asked for") {
+    Crossing one;
+    one.opened();
+    one.told({2, feed::PurgeNotice{.object = 0x7f3a9c21e0b4d655, .group = 0, .at = one.clock.now()}});
+    auto link = accept(one.cache);
+    one.steps([&] { return Quiet::readable(link); });
+    CHECK(request(link).find("X-Fresh-Ms: ") != std::string::npos);
+}
+
+TEST_CASE("nothing is written for a client that has cancelled") {
+    nothing_is_written([](Crossing& one) {
+        std::string seq;
+        bytes::put_number(seq, 4, 1);
+        REQUIRE(one.client.send(framed(head(4, "abort", 0) + std::string("\x08\0\1", 3) + seq + '\0')));
+        one.pump([&] { return !one.gathered_of<Left>().empty(); });
+    });
+}
+
+TEST_CASE("nothing is written for a client that has closed its connection, told by the loop or not") {
+    nothing_is_written([](Crossing& one) { Socket gone(std::move(one.client)); });
+}
+
+TEST_CASE("nothing is written for a client that half-closes: it counts as gone") {
+    nothing_is_written([](Crossing& one) { REQUIRE(shutdown(one.client.fd, SHUT_WR) == 0); });
+}
+
+// Guards against a retry for a client that left while its first transmission came to its end.
+TEST_CASE("an attempt's end and its client's leaving in one turn, in either order, lead to no further one") {
+    for (bool left_first : {false, true}) {
+        CAPTURE(left_first);
+        Crossing one;
+        one.opened();
+        one.act();
+        {
+            auto link = accept(one.cache);
+            one.steps([&] { return Quiet::readable(link); });
+            request(link);
+            if (left_first) {
+                { Socket gone(std::move(one.client)); }
+                one.pump([&] { return !one.gathered_of<Left>().empty(); });
+            }
+        }
+        one.pump([&] { return !one.gathered_of<Landed>().empty(); });
+        if (!left_first) {
+            { Socket gone(std::move(one.client)); }
+            one.pump([&] { return !one.gathered_of<Left>().empty(); });
+        }
+        one.act();
+        CHECK(one.turn.held() == 0);
+        for (int i = 0; i < 5; i++) one.step();
+        CHECK_FALSE(Quiet::readable(one.cache));  // no other connection is asked for
+    }
+}
+
+// Guards against a transmission that goes out because its client's end is told a pass of the loop later.
+TEST_CASE("a lookup and its client's end that lie in one socket lead to nothing at all") {
+    Crossing one;
+    one.ask();
+    { Socket gone(std::move(one.client)); }
+    one.steps([&] { return one.front.connected() == 0; });
+    for (int i = 0; i < 5; i++) one.step();
+    CHECK(one.turn.held() == 0);
+    if (Quiet::readable(one.cache)) {
+        auto link = accept(one.cache);
+        CHECK(one.asked_nothing(link));
+    }
+}
--- /dev/null
+++ b/tests/pool_test.cpp
@@ -0,0 +1,159 @@
+// Connections to caches: one errand after the other, and how each ends.
+#include "quiet.hpp"
+
+using namespace quillgrade;
+using namespace quillgrade::node;
+
+TEST_CASE("a refused connection proves that nothing ran") {
+    Quiet quiet;
+    quiet.pool.list(std::get<feed::Listing>(quiet.caches({1}).what));
+    quiet.send(0, test_second);
+    quiet.pump([&] { return !quiet.gathered.empty(); });
+    REQUIRE(quiet.gathered_of<Landed>().size() == 1);
+    CHECK(quiet.gathered_of<Landed>()[0].outcome == Outcome::Unconnected);
+    quiet.pool.sweep();
+    CHECK(quiet.pool.links() == 0);
+}
+
+// Guards against memory that grows as caches come and go under ever new ids.
+TEST_CASE("nothing is kept of a cache that has gone, and its connection is not used again") {
+    Quiet quiet;
+    Listener cache;
+    quiet.send(cache.port, 0);
+    auto link = quiet.asked(cache);
+    quiet.pool.list(std::get<feed::Listing>(quiet.caches({2}).what));
+    CHECK(quiet.pool.caches() == 1);
+    REQUIRE(link.send("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"));
+    CHECK(quiet.landed().outcome == Outcome::Miss);
+    CHECK(quiet.pool.links() == 0);
+    auto gone = std::get<feed::Listing>(quiet.caches({2}).what);
+    gone.complete = false;
+    gone.caches[0].entry.listed = Listed::Gone;
+    quiet.pool.list(gone);
+    CHECK(quiet.pool.caches() == 0);
+}
+
+// Guards against lookups that go to a box that was taken out, over a connection that was at work meanwhile.
+TEST_CASE("a connection that was at work while its id moved to another address is not used again") {
+    Quiet quiet;
+    Listener before, after;
+    quiet.send(before.port, 0);
+    auto old = quiet.asked(before);
+    auto gone = std::get<feed::Listing>(quiet.caches({1}).what);
+    gone.complete = false;
+    gone.caches[0].entry.listed = Listed::Gone;
+    quiet.pool.list(gone);
+    gone.caches[0].entry.listed = Listed::Ready;
+    gone.caches[0].port = static_cast<std::uint16_t>(after.port);
+    quiet.pool.list(gone);
+    REQUIRE(old.send("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"));
+    CHECK(quiet.landed().outcome == Outcome::Miss);
+    CHECK(quiet.pool.links() == 0);
+    quiet.send(after.port, 1);
+    quiet.asked(after);
+    CHECK(read(old, [](auto&) { return false; }) == "");  // closed, and nothing was asked there
+}
+
+TEST_CASE("a pool that is full sends nothing and says so, whatever the cache") {
+    Quiet quiet;
+    quiet.pool.list(std::get<feed::Listing>(quiet.caches({1}).what));
+    for (int round : {0, 1, 2}) quiet.send(round, test_second);
+    CHECK(quiet.pool.links() == 2);
+    REQUIRE(quiet.gathered_of<Landed>().size() == 1);
+    CHECK(quiet.gathered_of<Landed>()[0].round == 2);
+    CHECK(quiet.gathered_of<Landed>()[0].outcome == Outcome::Moot);
+}
+
+TEST_CASE("a transmission given up before it was written never ran") {
+    Quiet quiet;
+    quiet.pool.list(std::get<feed::Listing>(quiet.caches({1}).what));
+    quiet.send(0, test_second);
+    quiet.pool.give_up(9, 0);
+    REQUIRE(quiet.gathered_of<Landed>().size() == 1);
+    CHECK(quiet.gathered_of<Landed>()[0].outcome == Outcome::Moot);
+    quiet.pool.give_up(9, 0);  // once is enough
+    CHECK(quiet.gathered_of<Landed>().size() == 1);
+}
+
+TEST_CASE("a connection serves one transmission after the other") {
+    Quiet quiet;
+    Listener cache;
+    quiet.send(cache.port, 0);
+    auto link = quiet.asked(cache);
+    REQUIRE(link.send(whole_answer));
+    CHECK(quiet.landed().outcome == Outcome::Ok);
+    quiet.rest();
+    quiet.send(cache.port, 1);
+    quiet.pump([&] { return Quiet::readable(link); });
+    request(link);
+    REQUIRE(link.send(whole_answer));
+    CHECK(quiet.landed().outcome == Outcome::Ok);
+    CHECK(quiet.pool.links() == 1);
+}
+
+// Guards against a closed idle connection that would be laid at the cache's door.
+TEST_CASE("a connection that was closed while idle is passed over, one that breaks is a reset") {
+    Quiet quiet;
+    Listener cache;
+    quiet.send(cache.port, 0);
+    {
+        auto first = quiet.asked(cache);
+        REQUIRE(first.send(whole_answer));
+        CHECK(quiet.landed().outcome == Outcome::Ok);
+    }
+    quiet.send(cache.port, 1);  // the loop has not told of the close yet
+    {
+        auto second = quiet.asked(cache);
+        REQUIRE(second.send(whole_answer.substr(0, whole_answer.size() - 1)));
+    }
+    auto end = quiet.landed();
+    CHECK(end.round == 1);
+    CHECK(end.outcome == Outcome::Reset);
+}
+
+// Guards against a vanished machine that would not be noticed: a timer that fired early made its connections
+// count as time that had run out.
+TEST_CASE("a connection that does not come up in time says so, one whose lookup ends first does not") {
+    Quiet quiet;
+    quiet.launch.terms.connect_time = 30 * test_ms;
+    Listener cache;
+    REQUIRE(listen(cache.fd, 0) == 0);
+    std::vector<Socket> filling;  // what the listener has no room for gets no answer
+    for (int i = 0; i < 4; i++) {
+        filling.emplace_back(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+        filling.back().connect(cache.port);
+    }
+    quiet.send(cache.port, 0);
+    CHECK(quiet.landed().outcome == Outcome::Unconnected);
+    quiet.send(cache.port, 1, 10 * test_ms);
+    CHECK(quiet.landed().outcome == Outcome::Moot);
+}
+
+TEST_CASE("giving a transmission up closes its connection, and it may have run") {
+    Quiet quiet;
+    Listener cache;
+    quiet.send(cache.port, 0);
+    auto link = quiet.asked(cache);
+    quiet.pool.give_up(9, 0);
+    CHECK(quiet.landed().outcome == Outcome::Cancelled);
+    quiet.pump([&] { return Quiet::readable(link); });
+    CHECK(read(link, [](auto&) { return false; }).empty());
+}
+
+// Guards against memory that fills with answers under way.
+TEST_CASE("past the bound the longest answer under way is given up, which says nothing against its cache") {
+    Quiet quiet;
+    Listener cache;
+    std::vector<Socket> links;
+    for (int round : {0, 1}) {
+        quiet.send(cache.port, round);
+        links.push_back(quiet.asked(cache));
+        REQUIRE(links.back().send("HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" +
+                                  std::string(round == 0 ? 40'000 : 70'000, 'x')));
+    }
+    auto end = quiet.landed();
+    CHECK(end.round == 1);
+    CHECK(end.outcome == Outcome::Cancelled);
+    quiet.pump([&] { return Quiet::readable(links[1]); });  // it is closed
+    CHECK(quiet.pool.links() == 1);
+}
--- /dev/null
+++ b/tests/shutdown_test.cpp
@@ -0,0 +1,114 @@
+// Planned restarts of the program itself: SIGTERM at every moment, with clients and caches that stay or hang.
+#include <sys/stat.h>
+
+#include <chrono>
+
+#include "program.hpp"
+
+using namespace quillgrade;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+double seconds_since(Clock::time_point start) {
+    return std::chrono::duration<double>(Clock::now() - start).count();
+}
+
+}  // namespace
+
+// Guards against a signal that ends a router which has not come to hear it: that is a crash.
+TEST_CASE("SIGTERM while the configuration is read ends the program with 0, before it listens") {
+    for (int signal : {SIGTERM, SIGINT}) {
+        std::string path = "/tmp/quillgrade_test_pipe_" + std::to_string(getpid());
+        REQUIRE(mkfifo(path.c_str(), 0600) == 0);
+        {
+            int port = free_port();
+            Listener coordinator, cache;
+            Program program(path);
+            std::ofstream into(path);  // opens once the program does
+            kill(program.pid, signal);
+            into << config(port, coordinator.port, cache.port);
+            into.close();
+            line(program.log, "over before it listened");
+            CHECK(program.exit_code() == 0);
+        }
+        unlink(path.c_str());
+    }
+}
+
+TEST_CASE("SIGHUP while the configuration is read is heeded once it serves, and ends nothing") {
+    std::string path = "/tmp/quillgrade_test_pipe_" + std::to_string(getpid());
+    REQUIRE(mkfifo(path.c_str(), 0600) == 0);
+    Listener first, second, cache;
+    int port = free_port();
+    Program program(path);
+    {
+        std::ofstream into(path);  // opens once the program does
+        std::ofstream(path + "_next") << config(port, second.port, cache.port);
+        REQUIRE(std::rename((path + "_next").c_str(), path.c_str()) == 0);
+        kill(program.pid, SIGHUP);
+        into << config(port, first.port, cache.port);
+    }
+    accept(second);
+    unlink(path.c_str());
+    kill(program.pid, SIGTERM);
+    CHECK(program.exit_code() == 0);
+}
+
+TEST_CASE("SIGTERM twice, with SIGHUP between, is one planned restart") {
+    int port = free_port();
+    Listener coordinator, cache;
+    File file(config(port, coordinator.port, cache.port));
+    Program program(file.path);
+    line(program.log, "serving as n1");
+    Socket client;
+    REQUIRE(client.connect(port));
+    client.send(invoke(1, fields_of("00000000000000a1")));
+    auto link = accept(cache);
+    request(link);
+    for (int signal : {SIGTERM, SIGHUP, SIGTERM}) kill(program.pid, signal);
+    line(program.log, "leaving");
+    link.send(answer("200 OK", "held"));
+    CHECK(frame(client) == thrift::handled(1, "held", false));
+    CHECK(program.exit_code() == 0);
+}
+
+// Guards against a reset under clients that rest until they are hung up on, and against waiting for them.
+TEST_CASE("a resting client is told of the end, and the program does not wait for more") {
+    int port = free_port();
+    Listener coordinator, cache;
+    File file(config(port, coordinator.port, cache.port));
+    Program program(file.path);
+    line(program.log, "serving as n1");
+    Socket client;
+    REQUIRE(client.connect(port));
+    client.send(framed(head(1, "ping", 1) + std::string(1, '\0')));
+    CHECK(frame(client) == thrift::pong(1, true));
+    auto start = Clock::now();
+    kill(program.pid, SIGTERM);
+    CHECK(read(client, [](auto&) { return false; }).empty());  // the end, and the client stays
+    CHECK(program.exit_code() == 0);
+    CHECK(seconds_since(start) < 3);
+}
+
+// Guards against SIGKILL finding a lookup that its cache never answers.
+TEST_CASE("a lookup that hangs with its cache is broken off before the program is killed") {
+    int port = free_port();
+    Listener coordinator, cache;
+    File file(config(port, coordinator.port, cache.port));
+    Program program(file.path);
+    line(program.log, "serving as n1");
+    Socket client;
+    REQUIRE(client.connect(port));
+    auto fields = fields_of("00000000000000a1", "order");
+    fields["d"] = "6000";
+    auto start = Clock::now();
+    kill(program.pid, SIGTERM);
+    line(program.log, "leaving");
+    client.send(invoke(1, fields));
+    auto link = accept(cache);
+    request(link);
+    CHECK(frame(client) == thrift::broken_off(1));
+    CHECK(program.exit_code() == 0);
+    CHECK(seconds_since(start) < 3.7);
+}
