--- a/tests/late_connection_test.cpp
+++ b/tests/late_connection_test.cpp
@@ -52,6 +52,21 @@
     });
 }
 
+// Guards against a lookup for a box that was taken out, over a connection to its address, as its id stands
+// elsewhere.
+TEST_CASE("nothing is written to the old address of a cache whose id was listed again at another") {
+    Crossing one;
+    one.opened();
+    Listener elsewhere;
+    auto again = one.endpoint(Crossing::cache_id);
+    again.port = static_cast<std::uint16_t>(elsewhere.port);
+    one.told(one.change(again));  // without a word that it had gone
+    auto link = accept(one.cache);
+    one.steps([&] { return Quiet::readable(elsewhere) || one.turn.held() == 0; });
+    for (int i = 0; i < 5; i++) one.step();
+    CHECK(one.asked_nothing(link));
+}
+
 TEST_CASE("nothing is written that names a source which drains by now") {
     nothing_is_written([](Crossing& one) {
         one.told(one.change(one.endpoint(Crossing::parent_id, Listed::Draining)));
