End a planned restart in time although a client never stops asking

Seen by reading: Leaving ended only after 0.2 s without a lookup, so one client that goes on asking kept the router there until SIGKILL, with what it held unanswered and all resting clients never told. The bound of what is held, and of the end, stand in the next phase. Line at fault: Node::next, case Leaving.

Change: Leaving is over 0.2 s before what is held is broken off, lookups or not. Tests: the phases, and the program with a client that asks every 20 ms until it is hung up on.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -92,9 +92,12 @@
             return Phase::Serving;
         case Phase::Serving:
             return seen.told_to_leave > 0 ? Phase::Leaving : Phase::Serving;
-        case Phase::Leaving:
-            return gone >= arrivals_last && seen.now - seen.last_arrival >= quiet_for ? Phase::Finishing
-                                                                                      : Phase::Leaving;
+        case Phase::Leaving: {
+            // Guards against a client that never stops asking: SIGKILL would find what is held.
+            bool quiet = seen.now - seen.last_arrival >= quiet_for,
+                 late = gone >= seen.longest_stay - quiet_for;
+            return gone >= arrivals_last && (quiet || late) ? Phase::Finishing : Phase::Leaving;
+        }
         case Phase::Finishing:
             return seen.nothing_held || gone >= seen.longest_stay + to_flush ? Phase::Over : Phase::Finishing;
         case Phase::Over:
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -76,6 +76,9 @@
     CHECK(Node::next(Phase::Leaving, seen) == Phase::Finishing);
     seen.last_arrival = seen.now - 100 * test_ms;  // and some do
     CHECK(Node::next(Phase::Leaving, seen) == Phase::Leaving);
+    seen.now = seen.last_arrival = noon + 2900 * test_ms;  // without end
+    CHECK(Node::next(Phase::Leaving, seen) == Phase::Finishing);
+    seen.now = noon + 900 * test_ms;
     CHECK(Node::next(Phase::Finishing, seen) == Phase::Finishing);
     seen.nothing_held = true;
     CHECK(Node::next(Phase::Finishing, seen) == Phase::Over);
--- a/tests/shutdown_test.cpp
+++ b/tests/shutdown_test.cpp
@@ -1,4 +1,5 @@
 // Planned restarts of the program itself: SIGTERM at every moment, with clients and caches that stay or hang.
+#include <fmt/format.h>
 #include <sys/stat.h>
 
 #include <chrono>
@@ -92,6 +93,29 @@
     CHECK(seconds_since(start) < 3);
 }
 
+// Guards against a router that waits for a moment without lookups until SIGKILL finds it.
+TEST_CASE("a client that never stops asking does not keep the program from ending in time") {
+    int port = free_port();
+    Listener coordinator, cache;
+    File file(config(port, coordinator.port, cache.port));
+    Program program(file.path);
+    line(program.log, "serving as n1");
+    Socket client;
+    REQUIRE(client.connect(port));
+    auto start = Clock::now();
+    kill(program.pid, SIGTERM);
+    for (int seq = 1;; seq++) {
+        auto bytes = invoke(seq, fields_of(fmt::format("{:016x}", seq).c_str()));
+        if (::send(client.fd, bytes.data(), bytes.size(), MSG_NOSIGNAL) < 0) break;
+        pollfd ready{client.fd, POLLIN, 0};
+        char piece[4096];
+        if (poll(&ready, 1, 20) == 1 && ::read(client.fd, piece, sizeof piece) <= 0) break;
+        REQUIRE(seconds_since(start) < 10);
+    }
+    CHECK(program.exit_code() == 0);
+    CHECK(seconds_since(start) < 3.7);
+}
+
 // Guards against SIGKILL finding a lookup that its cache never answers.
 TEST_CASE("a lookup that hangs with its cache is broken off before the program is killed") {
     int port = free_port();
