--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -562,7 +562,8 @@
                 }
             CHECK(most_over <= 0);
             CHECK(sent.size() > 20);  // it is used, and not left alone until it is warm:
-            if (told) CHECK(sent.front() < noon + warm / 4);  // also where a router's part is under one lookup
+            if (told)
+                CHECK(sent.front() < noon + warm / 4);  // also where a router's part is under one lookup
         }
 }
 
