Name half-closing by its word, and give the connection tests one fixture each

Need: the change was read once more as a stranger. `end`, `part` and `Ended` hid what is a half-close (and a part is of an object here); the 50 ms of the protocol stood twice; two guards no test would have missed: a client that always has bytes on the way and never ends a message, and the half-closed connection that makes way first. Tests wrote the same scenes again: they share OneClient, Answered and Serving now.

--- a/src/node/client.cpp
+++ b/src/node/client.cpp
@@ -8,7 +8,7 @@
 
 constexpr std::size_t most_open = 32;  // calls on one connection, by the protocol
 // For a client to read the last answer and the end after it, there and back.
-constexpr Micros longest_parting = 4 * Client::crossing;
+constexpr Micros linger_time = 4 * crossing;
 const std::vector<thrift::Wanted> nothing;
 
 }  // namespace
@@ -25,7 +25,7 @@
               .closed = [this] { hang_up(); }}) {}
 
 bool Client::over(Micros now) const {
-    return state == State::Gone || (state == State::Ended && now - ended_at >= longest_parting);
+    return state == State::Gone || (state == State::HalfClosed && now - half_closed_at >= linger_time);
 }
 
 bool Client::resting(Micros now) const {
@@ -33,10 +33,10 @@
     return (frames.held_bytes() == 0 || now - last_byte >= crossing) && !stream.unread();
 }
 
-void Client::end() {
-    stream.shut();
-    state = State::Ended;
-    ended_at = shared.clock.now();
+void Client::half_close() {
+    stream.shut_down_writing();
+    state = State::HalfClosed;
+    half_closed_at = shared.clock.now();
 }
 
 // Guards against a transmission for a client that has closed its connection or cancelled while others were
--- a/src/node/client.hpp
+++ b/src/node/client.hpp
@@ -30,7 +30,7 @@
     bool resting(Micros now) const;
     // No answer follows: the client sees the end, and what crosses it is read and thrown away, so that no
     // reset takes the last answer with it. Only when idle.
-    void end();
+    void half_close();
     void hang_up();  // whatever is open, its client is gone
     // Whether it still waits for what it asked, as far as its socket tells now, heard by the loop or not.
     // Speaking: bytes lie unread, which may cancel it.
@@ -38,12 +38,11 @@
     Presence presence();
     // To be let go of between passes of the loop: the far side has closed, or was given its time to.
     bool over(Micros now) const;
-    bool wants_end() const { return state == State::Closing && idle(); }
-    bool ended() const { return state == State::Ended; }
+    bool wants_half_close() const { return state == State::Closing && idle(); }
+    bool half_closed() const { return state == State::HalfClosed; }
     bool spoke() const { return has_spoken; }      // has sent a whole message
     Micros last_active() const { return active; }  // when it connected, sent a whole message or was answered
     std::size_t held() const { return stream.unsent() + frames.held_bytes() + bodies; }
-    static constexpr Micros crossing = 50'000;  // by the protocol: what crosses a close by less is sent again
 
 private:
     void heard(std::string_view bytes);
@@ -61,13 +60,13 @@
     };
     std::unordered_map<std::int32_t, Open> open;
     std::size_t bodies = 0;  // bytes that came with the lookups that are open
-    // Closing: its bytes make no sense any more, what is open is still answered. Ended: no answer follows.
-    // Gone: the client has closed.
-    enum class State { Open, Closing, Ended, Gone };
+    // Closing: its bytes make no sense any more, what is open is still answered. HalfClosed: no answer
+    // follows. Gone: the client has closed.
+    enum class State { Open, Closing, HalfClosed, Gone };
     State state = State::Open;
     bool has_spoken = false;
     std::size_t thrown_away = 0;  // bytes
-    Micros active, last_byte = 0, ended_at = 0;
+    Micros active, last_byte = 0, half_closed_at = 0;
     Stream stream;
 };
 
--- a/src/node/clock.hpp
+++ b/src/node/clock.hpp
@@ -8,6 +8,9 @@
 
 namespace quillgrade::node {
 
+// By the protocol: what crosses the end of a connection, or of an answer, comes within this.
+constexpr Micros crossing = 50'000;
+
 class Clock {
 public:
     Micros now() {
--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -112,15 +112,15 @@
     listener.reset();
 }
 
-void Front::part(Micros now) {
+void Front::half_close_resting(Micros now) {
     for (auto& [id, client] : clients)
-        if (client.resting(now)) client.end();
+        if (client.resting(now)) client.half_close();
 }
 
 void Front::sweep() {
     auto now = shared.clock.now();
     for (auto& [id, client] : clients)
-        if (client.wants_end()) client.end();
+        if (client.wants_half_close()) client.half_close();
     std::erase_if(clients, [&](auto& client) { return client.second.over(now); });
     drop_unread();
     if (std::exchange(short_of_descriptors, false)) {
@@ -130,7 +130,7 @@
     // Guards against lookups that wait unread in the system's queue, on connections that nobody takes: room
     // is made as soon as it is needed, and whoever waits is let in in the same pass.
     if (clients.size() >= most_clients && !drop_silent()) {
-        tidy.set(Client::crossing);  // by then there may be one
+        tidy.set(crossing);  // by then there may be one
         if (!std::exchange(told_of_pause, true))
             log::warning("no new client connections: all that descriptors allow are at work");
     } else if (paused && !again.pending()) {
@@ -159,9 +159,10 @@
 void Front::drop_overdue(Micros now) {
     for (auto& [id, client] : clients) {
         auto longest = client.spoke() ? longest_idle : longest_mute;
-        if (client.resting(now) && now - client.last_active() >= longest) client.end();
+        if (client.resting(now) && now - client.last_active() >= longest) client.half_close();
         // One that never ends what it sends does not rest.
-        if (!client.ended() && client.idle() && now - client.last_active() >= 2 * longest) client.hang_up();
+        if (!client.half_closed() && client.idle() && now - client.last_active() >= 2 * longest)
+            client.hang_up();
     }
     std::erase_if(clients, [&](auto& entry) { return entry.second.over(now); });
 }
@@ -174,10 +175,10 @@
     auto longest = clients.end();
     for (auto client = clients.begin(); client != clients.end(); client++) {
         auto& one = client->second;
-        if (!one.ended() && !one.resting(now)) continue;
+        if (!one.half_closed() && !one.resting(now)) continue;
         if (longest != clients.end() &&
-            std::pair(!one.ended(), one.last_active()) >=
-                std::pair(!longest->second.ended(), longest->second.last_active()))
+            std::pair(!one.half_closed(), one.last_active()) >=
+                std::pair(!longest->second.half_closed(), longest->second.last_active()))
             continue;
         longest = client;
     }
--- a/src/node/front.hpp
+++ b/src/node/front.hpp
@@ -13,8 +13,9 @@
     void listen(const feed::Address& at);  // throws std::runtime_error
     // Whoever has connected by now is let in; where there is no room for all, to be called again.
     void stop_listening();
-    void part(Micros now);  // ends the connections that rest; to be called until all have parted
-    bool all_parted() const { return clients.empty() && !listener; }
+    void half_close_resting(
+        Micros now);  // ends the connections that rest; to be called until all have parted
+    bool all_closed() const { return clients.empty() && !listener; }
     Client::Presence presence(const Caller& caller);
     void want(const std::vector<thrift::Wanted>* fields) { shared.wanted = fields; }
     void set_ready(bool ready) { shared.ready = ready; }
--- a/src/node/link.cpp
+++ b/src/node/link.cpp
@@ -8,8 +8,6 @@
 namespace {
 
 constexpr double idle_share = 0.9;  // of the far side's time, so that it is never the first to close
-// By the protocol, what crosses an end on the wire comes within this. A second answer may come so late.
-constexpr Micros crossing = 50'000;
 
 }  // namespace
 
@@ -44,7 +42,7 @@
 }
 
 void Link::come_up() {
-    state = State::Ready;
+    state = State::Connected;
     shared.ready(*this);
 }
 
@@ -75,7 +73,7 @@
         return;
     }
     // Guards against an answer that nobody has asked for yet: it would be taken for that of the first lookup.
-    if (state == State::Opening || state == State::Ready) {
+    if (state == State::Opening || state == State::Connected) {
         finish(Outcome::Moot);
         return;
     }
@@ -91,7 +89,7 @@
 }
 
 void Link::closed() {
-    if (state == State::Opening || state == State::Ready)
+    if (state == State::Opening || state == State::Connected)
         finish(Outcome::Unconnected);
     else if (state == State::Busy)
         finish(Outcome::Reset);
@@ -105,7 +103,7 @@
     } else if (state == State::Opening) {
         // Told by which of the two times came first: timers may be some milliseconds early.
         finish(opening_ends <= errand.limit ? Outcome::Unconnected : Outcome::Moot);
-    } else if (state == State::Ready) {
+    } else if (state == State::Connected) {
         finish(Outcome::Moot);
     } else if (state == State::Busy) {
         finish(Outcome::Timeout);
@@ -113,14 +111,14 @@
 }
 
 void Link::give_up() {
-    if (state == State::Opening || state == State::Ready)
+    if (state == State::Opening || state == State::Connected)
         finish(Outcome::Moot);
     else if (state == State::Busy)
         finish(Outcome::Cancelled);
 }
 
 void Link::drop() {
-    if (state == State::Opening || state == State::Ready)
+    if (state == State::Opening || state == State::Connected)
         finish(Outcome::Moot);
     else if (state == State::Busy)
         finish(Outcome::Reset);
--- a/src/node/link.hpp
+++ b/src/node/link.hpp
@@ -39,7 +39,7 @@
     bool usable() const { return state == State::Idle && !stream.dropped(); }
     // Whether what may still have been on its way after the last answer has come by now.
     bool rested() const;
-    bool ready() const { return state == State::Ready; }
+    bool ready() const { return state == State::Connected; }
     bool idle() const { return state == State::Idle; }
     bool dead() const { return state == State::Dead; }
     std::size_t coming() const { return state == State::Busy ? reader.held_bytes() : 0; }
@@ -49,8 +49,8 @@
     Errand errand;
 
 private:
-    // Ready: connected, and nothing written before the turn has looked at the errand again.
-    enum class State { Opening, Ready, Busy, Idle, Dead };
+    // Connected: nothing written before the turn has looked at the errand again.
+    enum class State { Opening, Connected, Busy, Idle, Dead };
     void opened();
     void come_up();
     void heard(std::string_view bytes);
--- a/src/node/loop.cpp
+++ b/src/node/loop.cpp
@@ -65,7 +65,7 @@
 
 bool Stream::ended() const { return next_of(bufferevent_getfd(buffer.get())) == Next::End; }
 
-void Stream::shut() { ::shutdown(bufferevent_getfd(buffer.get()), SHUT_WR); }
+void Stream::shut_down_writing() { ::shutdown(bufferevent_getfd(buffer.get()), SHUT_WR); }
 
 // The owner may let go of its stream only between passes of the loop, never in one of these calls.
 void Stream::on_read(bufferevent* buffer, void* self) {
--- a/src/node/loop.hpp
+++ b/src/node/loop.hpp
@@ -36,10 +36,10 @@
     void write(std::string_view bytes) { bufferevent_write(buffer.get(), bytes.data(), bytes.size()); }
     void stop_reading() { bufferevent_disable(buffer.get(), EV_READ); }
     std::size_t unsent() const { return evbuffer_get_length(bufferevent_get_output(buffer.get())); }
-    bool dropped() const;  // the far side has closed or spoken while nothing was asked
-    bool unread() const;   // bytes lie in the system's buffer that were not read yet
-    bool ended() const;    // the far side has closed, and nothing lies before that
-    void shut();           // no byte follows; what comes is still read
+    bool dropped() const;      // the far side has closed or spoken while nothing was asked
+    bool unread() const;       // bytes lie in the system's buffer that were not read yet
+    bool ended() const;        // the far side has closed, and nothing lies before that
+    void shut_down_writing();  // no byte follows; what comes is still read
 
 private:
     static void on_read(bufferevent*, void* self);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -140,12 +140,12 @@
     if (peers) peers->pass(turn.counts(), now);
     if (phase == Phase::Finishing) {
         front.stop_listening();
-        front.part(now);
+        front.half_close_resting(now);
     }
     front.sweep();
     pool.sweep();
     Seen seen{now, leave_at, last_arrival, longest_stay(launch.terms.longest_wait),
-              turn.held() == 0 && front.all_parted()};
+              turn.held() == 0 && front.all_closed()};
     if (phase == Phase::Finishing && turn.held() > 0 && now - leave_at >= seen.longest_stay) {
         log::warning("broken off at the end: {} lookups", turn.held());
         turn.break_off_all();
--- a/tests/crossing.hpp
+++ b/tests/crossing.hpp
@@ -6,11 +6,9 @@
 
 namespace quillgrade::node {
 
-struct Crossing : Quiet {
+struct Crossing : OneClient {
     Crossing() {
         writing = false;
-        port = listen();
-        REQUIRE(client.connect(port));
         told(list());
     }
     static constexpr CacheId cache_id = 1, parent_id = 11, origin_id = 20;
@@ -68,9 +66,7 @@
         auto got = ::recv(link.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
         return got <= 0;
     }
-    int port = 0;
     Listener cache;
-    Socket client;
 };
 
 }  // namespace quillgrade::node
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -93,11 +93,8 @@
 
 // Guards against memory that fills with answers which nobody reads.
 TEST_CASE("a client that does not read is hung up on past the bound") {
-    Quiet quiet;
-    int port = quiet.listen();
-    Socket client;
-    REQUIRE(client.connect(port));
-    REQUIRE(client.send(invoke(1, call_fields()) + invoke(2, call_fields())));
+    OneClient quiet;
+    REQUIRE(quiet.client.send(invoke(1, call_fields()) + invoke(2, call_fields())));
     quiet.pump([&] { return quiet.gathered.size() == 2; });
     quiet.front.answer({1, 1}, std::string(2'000'000, 'x'));
     quiet.front.sweep();
@@ -107,12 +104,9 @@
 
 // Guards against memory that fills with what clients send.
 TEST_CASE("a client that sends more than the bound at once is hung up on") {
-    Quiet quiet;
-    int port = quiet.listen();
-    Socket client;
-    REQUIRE(client.connect(port));
+    OneClient quiet;
     for (int seq = 1; seq <= 6; seq++) {
-        REQUIRE(client.send(invoke(seq, call_fields(), std::string(200'000, 'x'))));
+        REQUIRE(quiet.client.send(invoke(seq, call_fields(), std::string(200'000, 'x'))));
         quiet.pump([&] { return quiet.gathered_of<Arrived>().size() == static_cast<std::size_t>(seq); });
     }
     quiet.front.sweep();
@@ -122,25 +116,19 @@
 
 // Guards against lookups that hold their room for as long as a client likes.
 TEST_CASE("a time limit far beyond the settings is not taken") {
-    Quiet quiet;
-    int port = quiet.listen();
-    Socket client;
-    REQUIRE(client.connect(port));
+    OneClient quiet;
     auto fields = call_fields();
     fields["d"] = "12001";
-    REQUIRE(client.send(invoke(1, fields)));
-    quiet.pump([&] { return Quiet::readable(client); });
-    CHECK(frame(client) == thrift::broken_off(1));
+    REQUIRE(quiet.client.send(invoke(1, fields)));
+    quiet.pump([&] { return Quiet::readable(quiet.client); });
+    CHECK(frame(quiet.client) == thrift::broken_off(1));
     CHECK(quiet.gathered.empty());
 }
 
 // Guards against a bad frame that takes more than its own connection with it.
 TEST_CASE("a client that sends nonsense is let go once what is open has been answered") {
-    Quiet quiet;
-    int port = quiet.listen();
-    Socket client;
-    REQUIRE(client.connect(port));
-    REQUIRE(client.send(invoke(1, call_fields()) + "GET / HTTP/1.1\r\n\r\n"));
+    OneClient quiet;
+    REQUIRE(quiet.client.send(invoke(1, call_fields()) + "GET / HTTP/1.1\r\n\r\n"));
     quiet.pump([&] { return !quiet.gathered.empty(); });
     quiet.front.sweep();
     CHECK(quiet.front.connected() == 1);
--- a/tests/parting_test.cpp
+++ b/tests/parting_test.cpp
@@ -9,11 +9,7 @@
 
 std::string ping() { return framed(head(1, "ping", 1) + std::string(1, '\0')); }
 
-struct Parting : Quiet {
-    Parting() {
-        port = listen();
-        REQUIRE(client.connect(port));
-    }
+struct Parting : OneClient {
     void sweep() {
         pass();
         front.sweep();
@@ -47,8 +43,6 @@
             got.append(piece, static_cast<std::size_t>(length));
         }
     }
-    int port = 0;
-    Socket client;
 };
 
 }  // namespace
@@ -94,7 +88,7 @@
 TEST_CASE("a resting connection is half-closed, and what crosses that is not taken") {
     Parting one;
     one.resting();
-    one.front.part(one.clock.now());
+    one.front.half_close_resting(one.clock.now());
     REQUIRE(one.client.send(invoke(2, call_fields())));  // the client has not looked yet
     CHECK(one.until_end().empty());
     for (int i = 0; i < 20; i++) one.pass();  // it is read
@@ -108,17 +102,17 @@
     Parting one;
     one.resting();
     auto start = one.clock.now();
-    one.front.part(start);
+    one.front.half_close_resting(start);
     one.sweeps([&] { return one.front.connected() == 0; });
-    CHECK(one.clock.now() - start >= 4 * Client::crossing);
+    CHECK(one.clock.now() - start >= 4 * crossing);
 }
 
 // Guards against a close on a lookup that lies unread for longer than a client would send it again.
-TEST_CASE("a connection on which a lookup lies unread is not ended, at no occasion") {
+TEST_CASE("a connection on which a lookup lies unread is not ended for having rested") {
     Parting one;
     one.resting();
     REQUIRE(one.client.send(invoke(2, call_fields())));  // nobody has read it
-    one.front.part(one.clock.now() + 4 * test_second);
+    one.front.half_close_resting(one.clock.now() + 4 * test_second);
     one.front.drop_overdue(one.clock.now() + 6 * test_second);
     one.pump([&] { return !one.gathered_of<Arrived>().empty(); });
     one.front.answer({1, 2}, thrift::broken_off(2));
@@ -126,6 +120,34 @@
     CHECK(frame(one.client) == thrift::broken_off(2));
 }
 
+// Guards against a client that keeps its connection by never ending what it sends.
+TEST_CASE("a client that always has bytes on the way, and never a whole message, is let go in the end") {
+    Parting one;
+    REQUIRE(one.client.send(invoke(1, call_fields()).substr(0, 30)));
+    one.pump([&] { return one.front.connected() == 1; });
+    one.rest();
+    REQUIRE(one.client.send("x"));  // nobody has read it
+    one.front.drop_overdue(one.clock.now() + 3 * test_second);
+    CHECK(one.front.connected() == 1);
+    one.front.drop_overdue(one.clock.now() + 5 * test_second);
+    CHECK(one.front.connected() == 0);
+    CHECK(one.gathered_of<Left>().empty());
+}
+
+// Guards against hanging up on a client that may come back while one that was told of its end holds room.
+TEST_CASE("where room is needed a half-closed connection makes way before one that rests longer") {
+    Parting one;
+    one.pump([&] { return one.front.connected() == 1; });
+    one.rest();
+    one.front.half_close_resting(one.clock.now());  // the first, which stays
+    std::vector<Socket> others(7);
+    for (auto& socket : others) REQUIRE(socket.connect(one.port));
+    one.pump([&] { return one.front.connected() == 8; });
+    one.front.sweep();
+    CHECK(one.front.connected() == 7);
+    for (auto& socket : others) CHECK_FALSE(Quiet::readable(socket));
+}
+
 // Guards against connections that wait in the system's queue: closing the listener would reset them.
 TEST_CASE("whoever has connected before the listener closes is let in") {
     Parting one;
@@ -135,7 +157,7 @@
     REQUIRE(late.send(invoke(1, call_fields())));
     one.front.stop_listening();  // no pass of the loop since
     CHECK(one.front.connected() == 2);
-    one.front.part(one.clock.now());
+    one.front.half_close_resting(one.clock.now());
     one.pump([&] { return !one.gathered_of<Arrived>().empty(); });
     CHECK_FALSE(too_late.connect(one.port));
 }
@@ -146,15 +168,15 @@
     for (auto& socket : waiting) REQUIRE(socket.connect(one.port));
     one.pump([&] { return one.front.connected() == 8; });
     one.front.stop_listening();
-    CHECK_FALSE(one.front.all_parted());
+    CHECK_FALSE(one.front.all_closed());
     one.rest();
     one.front.stop_listening();
-    one.front.part(one.clock.now());
+    one.front.half_close_resting(one.clock.now());
     one.pump([&] {
         one.front.stop_listening();
-        one.front.part(one.clock.now());
+        one.front.half_close_resting(one.clock.now());
         one.front.sweep();
-        return one.front.all_parted();
+        return one.front.all_closed();
     });
     for (auto& socket : waiting) CHECK(read(socket, [](auto&) { return false; }).empty());
 }
--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -76,34 +76,24 @@
 }
 
 TEST_CASE("a connection serves one transmission after the other") {
-    Quiet quiet;
-    Listener cache;
-    quiet.send(cache.port, 0);
-    auto link = quiet.asked(cache);
-    REQUIRE(link.send(whole_answer));
-    CHECK(quiet.landed().outcome == Outcome::Ok);
+    Answered quiet;
     quiet.rest();
-    quiet.send(cache.port, 1);
-    quiet.pump([&] { return Quiet::readable(link); });
-    request(link);
-    REQUIRE(link.send(whole_answer));
+    quiet.send(1);
+    quiet.pump([&] { return Quiet::readable(quiet.link); });
+    request(quiet.link);
+    REQUIRE(quiet.link.send(whole_answer));
     CHECK(quiet.landed().outcome == Outcome::Ok);
     CHECK(quiet.pool.links() == 1);
 }
 
 // Guards against a closed idle connection that would be laid at the cache's door.
 TEST_CASE("a connection that was closed while idle is passed over, one that breaks is a reset") {
-    Quiet quiet;
-    Listener cache;
-    quiet.send(cache.port, 0);
-    {
-        auto first = quiet.asked(cache);
-        REQUIRE(first.send(whole_answer));
-        CHECK(quiet.landed().outcome == Outcome::Ok);
-    }
-    quiet.send(cache.port, 1);  // the loop has not told of the close yet
+    Answered quiet;
+    quiet.rest();
+    { Socket closed(std::move(quiet.link)); }
+    quiet.send(1);  // the loop has not told of the close yet
     {
-        auto second = quiet.asked(cache);
+        auto second = quiet.asked(quiet.cache);
         REQUIRE(second.send(whole_answer.substr(0, whole_answer.size() - 1)));
     }
     auto end = quiet.landed();
--- a/tests/program.hpp
+++ b/tests/program.hpp
@@ -90,4 +90,17 @@
     return fields;
 }
 
+// A program that serves, between a coordinator and a cache, and a client that has connected.
+struct Serving {
+    Serving() : program(file.path) {
+        line(program.log, "serving as n1");
+        REQUIRE(client.connect(port));
+    }
+    int port = free_port();
+    Listener coordinator, cache;
+    File file{config(port, coordinator.port, cache.port)};
+    Program program;
+    Socket client;
+};
+
 }  // namespace quillgrade
--- a/tests/quiet.hpp
+++ b/tests/quiet.hpp
@@ -104,6 +104,31 @@
     Turn turn{launch, base.get(), gathered, front, pool};
 };
 
+// With one client connected.
+struct OneClient : Quiet {
+    OneClient() { REQUIRE(client.connect(port)); }
+    int port = listen();
+    Socket client;
+};
+
+inline std::string answer_of(const std::string& body) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// With one connection to a cache, which has answered its first transmission and rests since.
+struct Answered : Quiet {
+    explicit Answered(const std::string& first = answer_of("first")) {
+        REQUIRE(link.send(first));
+        CHECK(landed().outcome == Outcome::Ok);
+    }
+    Socket sent_first() {
+        send(cache.port, 0);
+        return asked(cache);
+    }
+    Listener cache;
+    Socket link = sent_first();
+};
+
 inline const std::string whole_answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
 }  // namespace quillgrade::node
--- a/tests/resting_link_test.cpp
+++ b/tests/resting_link_test.cpp
@@ -4,10 +4,6 @@
 using namespace quillgrade;
 using namespace quillgrade::node;
 
-static std::string answer_of(const std::string& body) {
-    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
 TEST_CASE("two answers in one read: the first counts, and the connection is not used again") {
     Quiet quiet;
     Listener cache;
@@ -19,13 +15,8 @@
 }
 
 TEST_CASE("a second answer that comes while the connection rests ends it") {
-    Quiet quiet;
-    Listener cache;
-    quiet.send(cache.port, 0);
-    auto link = quiet.asked(cache);
-    REQUIRE(link.send(answer_of("first")));
-    CHECK(quiet.landed().reply.body == "first");
-    REQUIRE(link.send(answer_of("second")));
+    Answered quiet;
+    REQUIRE(quiet.link.send(answer_of("second")));
     quiet.pump([&] {
         quiet.pool.sweep();
         return quiet.pool.links() == 0;
@@ -35,15 +26,10 @@
 // Guards against a second answer that comes some milliseconds late, when the next lookup is on the
 // connection.
 TEST_CASE("a connection that was answered a moment ago is not given the next lookup") {
-    Quiet quiet;
-    Listener cache;
-    quiet.send(cache.port, 0);
-    auto link = quiet.asked(cache);
-    REQUIRE(link.send(answer_of("first")));
-    CHECK(quiet.landed().reply.body == "first");
+    Answered quiet;
     quiet.send(1);
-    auto other = quiet.asked(cache);  // a connection of its own
-    REQUIRE(link.send(answer_of("late")));
+    auto other = quiet.asked(quiet.cache);  // a connection of its own
+    REQUIRE(quiet.link.send(answer_of("late")));
     quiet.pump([&] {
         quiet.pool.sweep();
         return quiet.pool.links() == 1;
@@ -53,16 +39,11 @@
 }
 
 TEST_CASE("an unasked answer that lies in the socket is seen before the next lookup is written") {
-    Quiet quiet;
-    Listener cache;
-    quiet.send(cache.port, 0);
-    auto link = quiet.asked(cache);
-    REQUIRE(link.send(answer_of("first")));
-    CHECK(quiet.landed().reply.body == "first");
+    Answered quiet;
     quiet.rest();
-    REQUIRE(link.send(answer_of("late")));  // the loop has not read it
+    REQUIRE(quiet.link.send(answer_of("late")));  // the loop has not read it
     quiet.send(1);
-    auto other = quiet.asked(cache);
+    auto other = quiet.asked(quiet.cache);
     REQUIRE(other.send(answer_of("second")));
     CHECK(quiet.landed().reply.body == "second");
 }
--- a/tests/shutdown_test.cpp
+++ b/tests/shutdown_test.cpp
@@ -58,82 +58,58 @@
 }
 
 TEST_CASE("SIGTERM twice, with SIGHUP between, is one planned restart") {
-    int port = free_port();
-    Listener coordinator, cache;
-    File file(config(port, coordinator.port, cache.port));
-    Program program(file.path);
-    line(program.log, "serving as n1");
-    Socket client;
-    REQUIRE(client.connect(port));
-    client.send(invoke(1, fields_of("00000000000000a1")));
-    auto link = accept(cache);
+    Serving one;
+    one.client.send(invoke(1, fields_of("00000000000000a1")));
+    auto link = accept(one.cache);
     request(link);
-    for (int signal : {SIGTERM, SIGHUP, SIGTERM}) kill(program.pid, signal);
-    line(program.log, "leaving");
+    for (int signal : {SIGTERM, SIGHUP, SIGTERM}) kill(one.program.pid, signal);
+    line(one.program.log, "leaving");
     link.send(answer("200 OK", "held"));
-    CHECK(frame(client) == thrift::handled(1, "held", false));
-    CHECK(program.exit_code() == 0);
+    CHECK(frame(one.client) == thrift::handled(1, "held", false));
+    CHECK(one.program.exit_code() == 0);
 }
 
 // Guards against a reset under clients that rest until they are hung up on, and against waiting for them.
 TEST_CASE("a resting client is told of the end, and the program does not wait for more") {
-    int port = free_port();
-    Listener coordinator, cache;
-    File file(config(port, coordinator.port, cache.port));
-    Program program(file.path);
-    line(program.log, "serving as n1");
-    Socket client;
-    REQUIRE(client.connect(port));
-    client.send(framed(head(1, "ping", 1) + std::string(1, '\0')));
-    CHECK(frame(client) == thrift::pong(1, true));
+    Serving one;
+    one.client.send(framed(head(1, "ping", 1) + std::string(1, '\0')));
+    CHECK(frame(one.client) == thrift::pong(1, true));
     auto start = Clock::now();
-    kill(program.pid, SIGTERM);
-    CHECK(read(client, [](auto&) { return false; }).empty());  // the end, and the client stays
-    CHECK(program.exit_code() == 0);
+    kill(one.program.pid, SIGTERM);
+    CHECK(read(one.client, [](auto&) { return false; }).empty());  // the end, and the client stays
+    CHECK(one.program.exit_code() == 0);
     CHECK(seconds_since(start) < 3);
 }
 
 // Guards against a router that waits for a moment without lookups until SIGKILL finds it.
 TEST_CASE("a client that never stops asking does not keep the program from ending in time") {
-    int port = free_port();
-    Listener coordinator, cache;
-    File file(config(port, coordinator.port, cache.port));
-    Program program(file.path);
-    line(program.log, "serving as n1");
-    Socket client;
-    REQUIRE(client.connect(port));
+    Serving one;
     auto start = Clock::now();
-    kill(program.pid, SIGTERM);
+    kill(one.program.pid, SIGTERM);
     for (int seq = 1;; seq++) {
         auto bytes = invoke(seq, fields_of(fmt::format("{:016x}", seq).c_str()));
-        if (::send(client.fd, bytes.data(), bytes.size(), MSG_NOSIGNAL) < 0) break;
-        pollfd ready{client.fd, POLLIN, 0};
+        if (::send(one.client.fd, bytes.data(), bytes.size(), MSG_NOSIGNAL) < 0) break;
+        pollfd ready{one.client.fd, POLLIN, 0};
         char piece[4096];
-        if (poll(&ready, 1, 20) == 1 && ::read(client.fd, piece, sizeof piece) <= 0) break;
+        if (poll(&ready, 1, 20) == 1 && ::read(one.client.fd, piece, sizeof piece) <= 0) break;
         REQUIRE(seconds_since(start) < 10);
     }
-    CHECK(program.exit_code() == 0);
+    CHECK(one.program.exit_code() == 0);
     CHECK(seconds_since(start) < 3.7);
 }
 
 // Guards against SIGKILL finding a lookup that its cache never answers.
 TEST_CASE("a lookup that hangs with its cache is broken off before the program is killed") {
-    int port = free_port();
-    Listener coordinator, cache;
-    File file(config(port, coordinator.port, cache.port));
-    Program program(file.path);
-    line(program.log, "serving as n1");
-    Socket client;
-    REQUIRE(client.connect(port));
+    Serving one;
     auto fields = fields_of("00000000000000a1", "order");
     fields["d"] = "6000";
     auto start = Clock::now();
-    kill(program.pid, SIGTERM);
-    line(program.log, "leaving");
-    client.send(invoke(1, fields));
-    auto link = accept(cache);
+    kill(one.program.pid, SIGTERM);
+    line(one.program.log, "leaving");
+    one.client.send(invoke(1, fields));
+    auto link = accept(one.cache);
     request(link);
-    CHECK(frame(client) == thrift::broken_off(1));
-    CHECK(program.exit_code() == 0);
+    CHECK(frame(one.client) == thrift::broken_off(1));
+    CHECK(one.program.exit_code() == 0);
     CHECK(seconds_since(start) < 3.7);
 }
