--- a/bench/membership.cpp
+++ b/bench/membership.cpp
@@ -293,7 +293,8 @@
     for (auto n : sizes) {
         int kills = n == 5 ? 1 : quick ? 5 : 10;
         auto settle = (n >= 1000 ? (quick ? 20 : 150) : n >= 300 ? (quick ? 30 : 90) : 30) * second;
-        ours.push_back(later([=] { return detect<peers::Circle>(n, 0.05, kills, settle, 12 * second, 1); }));
+        ours.push_back(
+            later([=] { return detect<peers::Membership>(n, 0.05, kills, settle, 12 * second, 1); }));
         auto limit = static_cast<Micros>(22 / 300.0 * 1e6) * n * 5 + 5 * second;
         theirs.push_back(later([=] { return detect<Heartbeats>(n, 0.05, kills, second, limit, 1); }));
     }
@@ -302,7 +303,7 @@
     int among = quick ? 50 : 300;
     for (auto loss : losses) {
         wrong.push_back(
-            later([=] { return mistakes<peers::Circle>(among, loss, (quick ? 120 : 600) * second, 3); }));
+            later([=] { return mistakes<peers::Membership>(among, loss, (quick ? 120 : 600) * second, 3); }));
         wrong_beats.push_back(
             later([=] { return mistakes<Heartbeats>(among, loss, (quick ? 120 : 600) * second, 3); }));
     }
--- a/bench/shared_state.cpp
+++ b/bench/shared_state.cpp
@@ -52,7 +52,7 @@
     auto& terms = rig::partner_terms();
     terms.exchange = {};
     terms.exchange.site = rig::shared_site();
-    terms.exchange.loan = 3 * second;
+    terms.exchange.lease = 3 * second;
     static SharedFleet* running;
     running = nullptr;
     terms.steady = [] { return running ? running->now() : 1'764'576'000 * second; };
--- a/model/loans.cpp
+++ b/model/loans.cpp
@@ -1,7 +1,7 @@
-// Explores the loans of shared/rights.hpp, the code that ships, in every order within the bounds below: three
-// routers, one server that may get one lookup a window, one owner. The network delivers in any order, loses,
-// and doubles; a router stops between its look at a right and the sending, and is started again under its
-// name.
+// Explores the leases of shared/quotas.hpp, the code that ships, in every order within the bounds below:
+// three routers, one server that may get one lookup a window, one owner. The network delivers in any order,
+// loses, and doubles; a router stops between its look at a right and the sending, and is started again under
+// its name.
 //
 //   quillgrade_loans [--ticks N] [--faults N] [--states N]
 //
@@ -22,23 +22,23 @@
 #include <vector>
 
 #include "shared/flaw.hpp"
-#include "shared/rights.hpp"
+#include "shared/quotas.hpp"
 
 using namespace quillgrade;
 using namespace quillgrade::shared;
 
 namespace {
 
-constexpr Micros ms = 1000, window = 400 * ms, loan = 400 * ms, tick = 200 * ms, begin = 1'000'000'000;
+constexpr Micros ms = 1000, window = 400 * ms, lease = 400 * ms, tick = 200 * ms, begin = 1'000'000'000;
 constexpr double work = 100'000;
 constexpr int routers = 3;
 constexpr std::size_t most_flying = 4;
 const CacheId server = [] {  // one that router 0 owns
-    RightTerms terms;
+    QuotaTerms terms;
     terms.routers = routers;
     terms.owners = 1;
     CacheId id = 1;
-    while (Rights(terms).owners_of(id, 1)[0] != 0) id++;
+    while (Quotas(terms).owners_of(id, 1)[0] != 0) id++;
     return id;
 }();
 
@@ -49,7 +49,7 @@
 };
 
 struct World {
-    std::vector<Rights> all;
+    std::vector<Quotas> all;
     std::vector<Life> lives = std::vector<Life>(routers, 1);
     std::vector<Micros> pending =
         std::vector<Micros>(routers, 0);  // until when it may be written; 0: nothing waits
@@ -68,17 +68,17 @@
     }
 };
 
-Rights fresh(Number self, Life life, Micros now, bool long_there) {
-    RightTerms terms;
+Quotas fresh(Number self, Life life, Micros now, bool long_there) {
+    QuotaTerms terms;
     terms.self = self;
     terms.routers = routers;
     terms.owners = 1;
     terms.window = window;
-    terms.loan = loan;
+    terms.lease = lease;
     terms.seed = static_cast<std::uint32_t>(self * 100 + static_cast<int>(life));
     terms.now = now;
-    if (long_there) terms.now -= 100 * Rights(terms).new_life_waits();
-    Rights made(terms);
+    if (long_there) terms.now -= 100 * Quotas(terms).new_life_waits();
+    Quotas made(terms);
     made.list({{server, 1, work}}, now);
     return made;
 }
@@ -163,13 +163,13 @@
 
     // A router's pass: what it asks and grants goes on its way. What there is no room for is lost.
     void pass(World& world, Number who) {
-        auto& rights = world.all[static_cast<std::size_t>(who)];
+        auto& quotas = world.all[static_cast<std::size_t>(who)];
         auto life = world.lives[static_cast<std::size_t>(who)];
-        for (auto& [to, grant] : rights.grants(world.now)) {
+        for (auto& [to, grant] : quotas.grants(world.now)) {
             seen.lent = true;
             world.flying.push_back({who, to, life, grant});
         }
-        for (auto& [to, ask] : rights.asks([](Number) { return true; }, world.now)) {
+        for (auto& [to, ask] : quotas.asks([](Number) { return true; }, world.now)) {
             seen.renewed |= ask.renews != 0;
             world.flying.push_back({who, to, life, ask});
         }
@@ -177,11 +177,11 @@
     }
 
     void deliver(World& world, const Flying& one) {
-        auto& rights = world.all[static_cast<std::size_t>(one.to)];
+        auto& quotas = world.all[static_cast<std::size_t>(one.to)];
         if (auto* ask = std::get_if<Ask>(&one.what))
-            rights.asked(one.from, one.life, *ask, world.now);
+            quotas.asked(one.from, one.life, *ask, world.now);
         else
-            rights.granted(one.from, std::get<Grant>(one.what), world.now);
+            quotas.granted(one.from, std::get<Grant>(one.what), world.now);
         pass(world, one.to);
     }
 
@@ -197,12 +197,12 @@
             auto name = std::to_string(who);
             if (world.pending[place] == 0)
                 add(name + " wants", [&](World& next) {
-                    auto& rights = next.all[place];
-                    if (rights.available(server, next.now) >= work * 0.99) {
-                        next.pending[place] = rights.use(server, work, next.now, next.now);
+                    auto& quotas = next.all[place];
+                    if (quotas.available(server, next.now) >= work * 0.99) {
+                        next.pending[place] = quotas.use(server, work, next.now, next.now);
                         (who == 0 ? seen.own_used : seen.used_loan) = true;
                     } else {
-                        rights.missed(server, work, work, next.now);
+                        quotas.missed(server, work, work, next.now);
                     }
                     pass(next, who);
                 });
--- a/src/node/link.cpp
+++ b/src/node/link.cpp
@@ -24,15 +24,15 @@
               .drained = [] {},
               .closed = [this] { closed(); }}) {}
 
-void Link::run(const Errand& wanted) {
-    errand = wanted;
+void Link::run(const Attempt& wanted) {
+    attempt = wanted;
     if (connected) {
         come_up();
         return;
     }
     state = State::Opening;
     opening_ends = shared.clock.now() + shared.terms.connect_time;
-    timer.set(std::min(errand.limit, opening_ends) - shared.clock.now());
+    timer.set(std::min(attempt.limit, opening_ends) - shared.clock.now());
     if (!stream.open(address) && state == State::Opening) finish(Outcome::Moot);  // no descriptor is left
 }
 
@@ -48,10 +48,10 @@
 
 // The budget is known only now: it would pass the client's time by what connecting took.
 void Link::ask(const http::Request& request) {
-    Micros budget = errand.limit - shared.clock.now();
+    Micros budget = attempt.limit - shared.clock.now();
     // A right is looked up again here. Guards against what a stopped process, or a connection that came up
     // late, would send when others hold the right already.
-    bool over = errand.good_until > 0 && Clock::steady() > errand.good_until;
+    bool over = attempt.good_until > 0 && Clock::steady() > attempt.good_until;
     if (budget < 1000 || over) {
         refuse();
         return;
@@ -102,7 +102,7 @@
         state = State::Dead;
     } else if (state == State::Opening) {
         // Told by which of the two times came first: timers may be some milliseconds early.
-        finish(opening_ends <= errand.limit ? Outcome::Unconnected : Outcome::Moot);
+        finish(opening_ends <= attempt.limit ? Outcome::Unconnected : Outcome::Moot);
     } else if (state == State::Connected) {
         finish(Outcome::Moot);
     } else if (state == State::Busy) {
--- a/src/node/link.hpp
+++ b/src/node/link.hpp
@@ -11,7 +11,7 @@
 namespace quillgrade::node {
 
 // What a link is out for.
-struct Errand {
+struct Attempt {
     LookupId lookup = 0;
     int round = -1;  // -1: a probe
     Micros sent = 0, limit = 0;
@@ -20,7 +20,7 @@
 
 class Link {
 public:
-    // How an errand ended; the link is then idle, or dead.
+    // How an attempt ended; the link is then idle, or dead.
     using Ended = std::function<void(Link&, Outcome, http::Reply)>;
     struct Shared {
         event_base* base;
@@ -31,11 +31,11 @@
     };
     Link(const Shared& shared, CacheId cache, const feed::Address& address, std::uint64_t process);
 
-    void run(const Errand& errand);          // nothing is written yet
+    void run(const Attempt& attempt);        // nothing is written yet
     void ask(const http::Request& request);  // what was decided still holds: writes it
-    void refuse();                           // it doesn't: the errand ends, and nothing ran
-    void give_up();                          // the errand is no longer wanted: the connection is closed
-    void drop();                             // the connection is closed; an errand that is out ends as broken
+    void refuse();                           // it doesn't: the attempt ends, and nothing ran
+    void give_up();                          // the attempt is no longer wanted: the connection is closed
+    void drop();  // the connection is closed; an attempt that is out ends as broken
     bool usable() const { return state == State::Idle && !stream.dropped(); }
     // Whether what may still have been on its way after the last answer has come by now.
     bool rested() const;
@@ -46,10 +46,10 @@
 
     const CacheId cache;
     const std::uint64_t process;  // which of those that have stood behind the id
-    Errand errand;
+    Attempt attempt;
 
 private:
-    // Connected: nothing written before the turn has looked at the errand again.
+    // Connected: nothing written before the turn has looked at the attempt again.
     enum class State { Opening, Connected, Busy, Idle, Dead };
     void opened();
     void come_up();
--- a/src/node/peer_port.cpp
+++ b/src/node/peer_port.cpp
@@ -101,7 +101,7 @@
 }
 
 void PeerPort::pass(const version::Counts& counts, Micros now) {
-    view.ill(fitness.told(counts.ended, counts.bad, now));
+    view.ill(request_health.told(counts.ended, counts.bad, now));
     if (now >= view.due()) view.pass(now);
     send_and_say(now);
     wake.set(view.due() - now);
@@ -128,7 +128,7 @@
     }
     for (auto& one : view.changes())
         log::info("peers: {} {} -> {} (life {}, incarnation {}, by {})", one.who, name_of(one.before),
-                  name_of(one.after), one.standing.life, one.standing.incarnation, one.by);
+                  name_of(one.after), one.member_state.life, one.member_state.incarnation, one.by);
     for (auto& one : view.heard_of())
         log::info("peers: {} {} {}", one.listener, one.cut ? "does not hear" : "hears again", one.speaker);
     for (auto& one : view.health()) log::info("peers: {} is {}", one.who, one.ill ? "ill" : "well");
--- a/src/node/peer_port.hpp
+++ b/src/node/peer_port.hpp
@@ -10,8 +10,8 @@
 #include "launch/launch.hpp"
 #include "node/loop.hpp"
 #include "operate/plan.hpp"
-#include "peers/circle.hpp"
-#include "peers/fitness.hpp"
+#include "peers/membership.hpp"
+#include "peers/request_health.hpp"
 #include "version/trial.hpp"
 
 namespace quillgrade::node {
@@ -31,7 +31,7 @@
     void pass(const version::Counts& counts, Micros now);
     void leave(Micros now);  // SIGTERM has come
     void gone(Micros now);   // the last call
-    peers::Circle& circle() { return view; }
+    peers::Membership& membership() { return view; }
 
 private:
     void readable();
@@ -40,8 +40,8 @@
 
     std::vector<feed::Address> addresses;
     std::unordered_map<std::uint64_t, int> numbers;  // by address
-    peers::Circle view;
-    peers::Fitness fitness;
+    peers::Membership view;
+    peers::RequestHealth request_health;
     std::vector<std::pair<int, std::string>> came;
     int fd = -1;
     Owned<event> reading;
--- a/src/node/pool.cpp
+++ b/src/node/pool.cpp
@@ -57,7 +57,7 @@
     place.idle.clear();
 }
 
-void Pool::send(CacheId cache, const Errand& errand) {
+void Pool::send(CacheId cache, const Attempt& attempt) {
     auto found = places.find(cache);
     Link* link = found == places.end() ? nullptr : idle_link(found->second);
     if (!link && found != places.end() && make_room()) {
@@ -65,21 +65,21 @@
         link = all.back().get();
     }
     if (!link) {  // nothing was sent, and it is not the cache's doing
-        land(cache, errand, Outcome::Moot);
+        land(cache, attempt, Outcome::Moot);
         return;
     }
-    if (errand.round >= 0) out[{errand.lookup, errand.round}] = link;
-    link->run(errand);
+    if (attempt.round >= 0) out[{attempt.lookup, attempt.round}] = link;
+    link->run(attempt);
 }
 
-// A connection may have come up long after its errand was decided: to a process that has gone or moved since,
-// or for what must not be sent any more.
+// A connection may have come up long after its attempt was decided: to a process that has gone or moved
+// since, or for what must not be sent any more.
 void Pool::write(const Writer& word_on) {
     for (auto* link : std::exchange(ready, {})) {
         if (!link->ready()) continue;
         auto place = places.find(link->cache);
         bool there = place != places.end() && place->second.process == link->process;
-        auto word = there ? word_on(link->cache, link->errand) : Word{};
+        auto word = there ? word_on(link->cache, link->attempt) : Word{};
         if (auto* request = std::get_if<http::Request>(&word))
             link->ask(*request);
         else if (std::holds_alternative<Later>(word))
@@ -126,7 +126,7 @@
 }
 
 void Pool::ended(Link& link, Outcome outcome, http::Reply reply) {
-    out.erase({link.errand.lookup, link.errand.round});
+    out.erase({link.attempt.lookup, link.attempt.round});
     auto place = places.find(link.cache);
     // Guards against lookups that go to a box that was taken out, over a connection that was at work while
     // its id was listed again at another address.
@@ -134,15 +134,15 @@
         place->second.idle.push_back(&link);
     else
         link.drop();  // its cache has gone or moved meanwhile, or it is dead already
-    land(link.cache, link.errand, outcome, std::move(reply));
+    land(link.cache, link.attempt, outcome, std::move(reply));
 }
 
-void Pool::land(CacheId cache, const Errand& errand, Outcome outcome, http::Reply reply) {
-    if (errand.round < 0)
-        gathered.emplace_back(Probed{cache, outcome, errand.sent, reply.load});
+void Pool::land(CacheId cache, const Attempt& attempt, Outcome outcome, http::Reply reply) {
+    if (attempt.round < 0)
+        gathered.emplace_back(Probed{cache, outcome, attempt.sent, reply.load});
     else
         gathered.emplace_back(
-            Landed{errand.lookup, errand.round, cache, outcome, errand.sent, std::move(reply)});
+            Landed{attempt.lookup, attempt.round, cache, outcome, attempt.sent, std::move(reply)});
 }
 
 // Guards against memory that fills with answers under way: past the bound the transmission that holds most is
--- a/src/node/pool.hpp
+++ b/src/node/pool.hpp
@@ -22,12 +22,12 @@
          std::size_t most_coming);
     void list(const feed::Listing& listing);
     // Looks for a connection to the cache; what is to be written is asked for once there is one.
-    void send(CacheId cache, const Errand& errand);
-    // For each errand whose connection is there: what to write, or nothing if it must not go out any more;
+    void send(CacheId cache, const Attempt& attempt);
+    // For each attempt whose connection is there: what to write, or nothing if it must not go out any more;
     // Later if that will be known in a moment.
     struct Later {};
     using Word = std::variant<std::monostate, http::Request, Later>;
-    using Writer = std::function<Word(CacheId, const Errand&)>;
+    using Writer = std::function<Word(CacheId, const Attempt&)>;
     void write(const Writer& word_on);
     std::size_t to_write() const { return ready.size(); }
     void give_up(LookupId lookup, int round);
@@ -46,7 +46,7 @@
         std::vector<Link*> idle;    // the one used last at the end
     };
     void ended(Link& link, Outcome outcome, http::Reply reply);
-    void land(CacheId cache, const Errand& errand, Outcome outcome, http::Reply reply = {});
+    void land(CacheId cache, const Attempt& attempt, Outcome outcome, http::Reply reply = {});
     void forget(Place& place);
     Link* idle_link(Place& place);
     bool make_room();
--- a/src/node/sharing.cpp
+++ b/src/node/sharing.cpp
@@ -12,10 +12,10 @@
 
 shared::Terms terms_of(const operate::Sharing& plan, const launch::Launch& launch, Clock& clock) {
     shared::Terms terms;
-    terms.parts = {plan.facts, plan.rights, plan.judgements, plan.counts};
+    terms.parts = {plan.facts, plan.quotas, plan.judgements, plan.counts};
     terms.site = launch.facts;
     terms.owners = plan.owners;
-    terms.loan = plan.loan;
+    terms.lease = plan.lease;
     terms.now = {clock.now(), Clock::steady()};
     // New with each start, so that no answer to an earlier life's ask is taken for one to this one's.
     terms.seed = static_cast<std::uint32_t>(launch.seed ^ (launch.seed >> 32)) ^
@@ -27,14 +27,14 @@
 
 Sharing::Sharing(PeerPort& peers, const operate::Sharing& plan, const launch::Launch& launch, Clock& clock,
                  Turn& turn)
-    : peers(peers), turn(turn), exchange(peers.circle(), terms_of(plan, launch, clock)) {
+    : peers(peers), turn(turn), exchange(peers.membership(), terms_of(plan, launch, clock)) {
     turn.share(&exchange);
     std::string parts;
-    for (auto& [on, name] : {std::pair(plan.facts, "facts"), std::pair(plan.rights, "rights"),
+    for (auto& [on, name] : {std::pair(plan.facts, "facts"), std::pair(plan.quotas, "rights"),
                              std::pair(plan.judgements, "judgements"), std::pair(plan.counts, "counts")})
         if (on) parts += std::string(parts.empty() ? "" : ", ") + name;
     log::info("shared: {}", parts.empty() ? "nothing" : parts);
-    if (plan.rights && !launch.facts.ratings_are_links)
+    if (plan.quotas && !launch.facts.ratings_are_links)
         log::warning("shared: the settings state no links, so each router goes by its own cold budgets");
 }
 
@@ -80,12 +80,12 @@
 
 void Sharing::say_all() {
     auto& seen = exchange.figures();
-    auto& rights = exchange.rights_figures();
+    auto& quotas = exchange.quota_figures();
     log::info(
         "shared: {} bytes, {} facts, {} complaints, {} counts heard; {} asks, {} loans taken, {} given, {} "
         "renewed",
-        seen.cargo_bytes, seen.facts_heard, seen.complaints_heard, seen.counts_heard, rights.asked,
-        rights.borrowed, rights.granted, rights.renewed);
+        seen.payload_bytes, seen.facts_heard, seen.complaints_heard, seen.counts_heard, quotas.asked,
+        quotas.borrowed, quotas.granted, quotas.renewed);
 }
 
 }  // namespace quillgrade::node
--- a/src/node/turn.cpp
+++ b/src/node/turn.cpp
@@ -21,15 +21,15 @@
 void Turn::take(Gathered batch, Micros reading) {
     now = reading;
     until.clear();
-    if (exchange) look_up_rights();
+    if (exchange) look_up_quotas();
     for (auto& value : batch) std::visit([this](auto& known) { tell(known); }, value);
-    if (exchange) settle_rights();
+    if (exchange) settle_quotas();
     for (auto& one : answers) carry_out(one);
     answers.clear();
     for (auto cache : probes)
         pool.send(cache, {.lookup = 0, .round = -1, .sent = now, .limit = now + terms.connect_time});
     probes.clear();
-    pool.write([this](CacheId cache, const Errand& errand) { return still_wanted(cache, errand); });
+    pool.write([this](CacheId cache, const Attempt& attempt) { return still_wanted(cache, attempt); });
 }
 
 void Turn::tell(Arrived& arrived) {
@@ -91,9 +91,9 @@
         pool.list(*listing);
         if (routes) routes->list(*listing);
         // A right is there from the first moment on.
-        if (exchange) settle_rights();
+        if (exchange) settle_quotas();
         router.list(entries, listing->complete, now);
-        if (exchange) look_up_rights();
+        if (exchange) look_up_quotas();
     } else if (auto* purge = std::get_if<feed::PurgeNotice>(&event.what)) {
         router.purged(purge->object, purge->group, std::max<Micros>(0, now - purge->at), now);
     }
@@ -150,7 +150,7 @@
 }
 
 // What all routers together may send to servers that have just started, as far as it is this one's now.
-void Turn::look_up_rights() {
+void Turn::look_up_quotas() {
     steady = Clock::steady();
     for (auto id : lent)
         if (auto* server = find_server(router, id)) server->right = -1;
@@ -161,7 +161,7 @@
 }
 
 // What the module has used of it in this turn, and what it would have used.
-void Turn::settle_rights() {
+void Turn::settle_quotas() {
     shared::Times times{now, steady};
     for (auto id : lent) {
         auto* server = find_server(router, id);
@@ -250,21 +250,21 @@
 }
 
 // What was decided earlier, maybe long ago, is about to be written: all that has been told since is heeded.
-Pool::Word Turn::still_wanted(CacheId cache, const Errand& errand) {
-    if (errand.round < 0) {
+Pool::Word Turn::still_wanted(CacheId cache, const Attempt& attempt) {
+    if (attempt.round < 0) {
         auto* server = find_server(router, cache);
         if (!server || server->listed != Listed::Ready) return {};
         return http::probe();
     }
-    auto found = open.find(errand.lookup);
-    auto handle = router.find(errand.lookup);
+    auto found = open.find(attempt.lookup);
+    auto handle = router.find(attempt.lookup);
     if (found == open.end() || found->second.answered || !handle) return {};
     auto& lookup = found->second;
     auto client = front.presence(lookup.caller);
     if (client == Client::Presence::Gone) return {};
-    if (client == Client::Presence::Speaking && now < errand.limit) return Pool::Later{};
-    if (!handle->confirm(errand.round, lookup.orders[errand.round], now)) return {};
-    return http::transmission(lookup.facts, lookup.orders[errand.round], terms.traffic[lookup.facts.traffic],
+    if (client == Client::Presence::Speaking && now < attempt.limit) return Pool::Later{};
+    if (!handle->confirm(attempt.round, lookup.orders[attempt.round], now)) return {};
+    return http::transmission(lookup.facts, lookup.orders[attempt.round], terms.traffic[lookup.facts.traffic],
                               {lookup.have, lookup.ticket, lookup.body});
 }
 
--- a/src/node/turn.hpp
+++ b/src/node/turn.hpp
@@ -67,14 +67,14 @@
     void tell(std::shared_ptr<const route::RuleSet>& rules);
     void narrow(const Arrived& arrived, LookupFacts& facts);
     void count(bool bad);
-    void look_up_rights();
-    void settle_rights();
+    void look_up_quotas();
+    void settle_quotas();
     void weigh_opinions();
     Micros good_until(const Transmission& order) const;
     void made(Made one);
     void carry_out(Made& made);
     void send(Open& lookup, const Transmission& order);
-    Pool::Word still_wanted(CacheId cache, const Errand& errand);
+    Pool::Word still_wanted(CacheId cache, const Attempt& attempt);
 
     event_base* base;
     const site::Terms& terms;
@@ -93,7 +93,7 @@
     version::Counts ends;
     shared::Exchange* exchange = nullptr;
     std::vector<CacheId> lent, spoken_of;       // servers that were given a right, or a hearsay
-    std::unordered_map<CacheId, Micros> until;  // of the rights that this turn has used
+    std::unordered_map<CacheId, Micros> until;  // of the quotas that this turn has used
     int tends = 0;
     Micros now = 0, steady = 0;
     Timer upkeep;
--- a/src/operate/plan.cpp
+++ b/src/operate/plan.cpp
@@ -200,16 +200,16 @@
     auto* told = members.find("rights");
     if (!told) return;
     if (told->is_boolean()) {
-        shared.rights = told->get<bool>();
+        shared.quotas = told->get<bool>();
         return;
     }
-    auto rights = members.inner("rights", *told);
-    double owners = shared.owners, loan = static_cast<double>(shared.loan) / 1000;
-    rights.number("owners", owners, 1, 64);
-    if (owners != static_cast<int>(owners)) rights.fault("owners", "a whole number is expected");
-    rights.number("loan_ms", loan, 200, 10'000);
+    auto quotas = members.inner("rights", *told);
+    double owners = shared.owners, lease = static_cast<double>(shared.lease) / 1000;
+    quotas.number("owners", owners, 1, 64);
+    if (owners != static_cast<int>(owners)) quotas.fault("owners", "a whole number is expected");
+    quotas.number("loan_ms", lease, 200, 10'000);
     shared.owners = static_cast<int>(owners);
-    shared.loan = static_cast<Micros>(loan * 1000);
+    shared.lease = static_cast<Micros>(lease * 1000);
 }
 
 std::string line_of(std::string_view text, std::size_t byte) {
--- a/src/operate/plan.hpp
+++ b/src/operate/plan.hpp
@@ -58,9 +58,9 @@
 
 // What the routers of the tier share, on top of `peers` (docs/shared-state.md).
 struct Sharing {
-    bool facts = true, rights = true, judgements = true, counts = true;
-    int owners = 4;           // of a starting server's budget, 1 to 64; all routers need the same
-    Micros loan = 3'000'000;  // 200 ms to 10 s; all routers need the same
+    bool facts = true, quotas = true, judgements = true, counts = true;
+    int owners = 4;            // of a starting server's budget, 1 to 64; all routers need the same
+    Micros lease = 3'000'000;  // 200 ms to 10 s; all routers need the same
     bool operator==(const Sharing&) const = default;
 };
 
--- a/src/peers/allowance.hpp
+++ b/src/peers/byte_budget.hpp
@@ -4,13 +4,13 @@
 #include <algorithm>
 #include <cstddef>
 
-#include "peers/standing.hpp"
+#include "peers/member_state.hpp"
 
 namespace quillgrade::peers {
 
-class Allowance {
+class ByteBudget {
 public:
-    Allowance(double bytes_per_s, Micros now) : rate(bytes_per_s), at(now), saved(bytes_per_s) {}
+    ByteBudget(double bytes_per_s, Micros now) : rate(bytes_per_s), at(now), saved(bytes_per_s) {}
     // Bytes there are. What is sent may go below 0 by one datagram, and has to be earned then.
     double left(Micros now) {
         saved = std::min(2 * rate, saved + rate * static_cast<double>(std::max<Micros>(0, now - at)) / 1e6);
--- a/src/peers/rumours.hpp
+++ b/src/peers/gossip_queue.hpp
@@ -6,13 +6,13 @@
 #include <cmath>
 #include <vector>
 
-#include "peers/standing.hpp"
+#include "peers/member_state.hpp"
 
 namespace quillgrade::peers {
 
-class Rumours {
+class GossipQueue {
 public:
-    explicit Rumours(int routers)
+    explicit GossipQueue(int routers)
         : left(static_cast<std::size_t>(routers)),
           times(3 + static_cast<int>(std::ceil(std::log(routers + 1.0)))) {}
 
--- a/src/peers/awareness.hpp
+++ b/src/peers/local_health.hpp
@@ -5,13 +5,13 @@
 
 #include <algorithm>
 
-#include "peers/standing.hpp"
+#include "peers/member_state.hpp"
 
 namespace quillgrade::peers {
 
-class Awareness {
+class LocalHealth {
 public:
-    Awareness(Micros longest_gap, Micros now) : longest_gap(longest_gap), promised(now) {}
+    LocalHealth(Micros longest_gap, Micros now) : longest_gap(longest_gap), promised(now) {}
 
     void better() { doubt = std::max(0, doubt - 1); }
     void worse(int by = 1) { doubt = std::min(most, doubt + by); }
--- a/src/peers/standing.hpp
+++ b/src/peers/member_state.hpp
@@ -28,19 +28,19 @@
 enum class Phase : std::uint8_t { Here, Leaving, Gone };
 enum class Verdict : std::uint8_t { Alive, Suspected, Dead };
 
-struct Standing {
+struct MemberState {
     Life life = 0;
     Phase phase = Phase::Here;
     std::uint32_t incarnation = 0;
     Verdict verdict = Verdict::Alive;
     bool ill = false;  // it says that it answers, but does not get its lookups handled
-    bool operator==(const Standing&) const = default;
+    bool operator==(const MemberState&) const = default;
 };
 
 // What both accounts together say.
-inline Standing join(const Standing& one, const Standing& other) {
+inline MemberState join(const MemberState& one, const MemberState& other) {
     if (one.life != other.life) return one.life > other.life ? one : other;
-    auto rank = [](const Standing& s) { return std::tuple(s.incarnation, s.verdict, s.ill); };
+    auto rank = [](const MemberState& s) { return std::tuple(s.incarnation, s.verdict, s.ill); };
     auto joined = rank(one) >= rank(other) ? one : other;
     joined.life = std::max(one.life, other.life);
     // The two halves come from different speakers, so each is joined by itself.
--- a/src/peers/circle.cpp
+++ b/src/peers/membership.cpp
@@ -1,4 +1,4 @@
-#include "peers/circle.hpp"
+#include "peers/membership.hpp"
 
 #include <xxhash.h>
 
@@ -12,14 +12,14 @@
 namespace {
 
 constexpr Micros ms = 1000;
-constexpr int most_errands = 32, most_again = 2, most_probes = 8, most_hashes = 48, most_told = 20;
+constexpr int most_indirect_probes = 32, most_again = 2, most_probes = 8, most_hashes = 48, most_told = 20;
 constexpr std::size_t most_forced = 3;  // accounts that are told whatever they cost
 constexpr std::uint32_t most_incarnation = (1u << 27) - 1;
 constexpr std::size_t most_changes = 10'000;
-constexpr std::size_t least_cargo = 12, cargo_tag = 4;  // bytes worth loading; field, length
+constexpr std::size_t least_payload = 12, payload_tag = 4;  // bytes worth loading; field, length
 constexpr double own_datagram = 110;  // bytes that one for the passenger's sake needs at least
 
-std::uint32_t hash_of(const Standing& s, Number who, std::uint32_t so_far) {
+std::uint32_t hash_of(const MemberState& s, Number who, std::uint32_t so_far) {
     std::uint64_t words[2] = {s.life, (static_cast<std::uint64_t>(who) << 48) |
                                           (static_cast<std::uint64_t>(s.incarnation) << 8) |
                                           (s.ill ? 64u : 0u) | static_cast<unsigned>(s.verdict) * 4u |
@@ -29,19 +29,19 @@
 
 }  // namespace
 
-// What a kind of datagram leaves to more needful ones, in seconds of the allowance.
-double Circle::kept_back(Need need) {
+// What a kind of datagram leaves to more needful ones, in seconds of the byte_budget.
+double Membership::kept_back(SendPriority need) {
     switch (need) {
-        case Need::Probe:
+        case SendPriority::Probe:
             return 0;
-        case Need::Answer:
-        case Need::Insist:
+        case SendPriority::Answer:
+        case SendPriority::Insist:
             return 0.1;
-        case Need::Errand:
+        case SendPriority::IndirectProbe:
             return 0.15;
-        case Need::News:
+        case SendPriority::News:
             return 0.25;
-        case Need::Spare:
+        case SendPriority::Spare:
             break;
     }
     return 0.7;
@@ -67,32 +67,32 @@
     return "gone";
 }
 
-Circle::Circle(const Start& start)
+Membership::Membership(const Start& start)
     : number(start.self),
       zone(start.zone),
       rates(start.rates),
       me{start.life, Phase::Here, 0, Verdict::Alive, false},
       members(static_cast<std::size_t>(start.routers)),
-      order(start.self, start.routers, start.rates.period),
+      probe_schedule(start.self, start.routers, start.rates.period),
       suspicions({start.rates.shortest, start.rates.longest}),
-      hearings(start.self),
-      rumours(start.routers),
-      awareness(start.rates.gap, start.now),
-      allowance(start.rates.bytes_per_s, start.now),
+      reachability(start.self),
+      gossip(start.routers),
+      local_health(start.rates.gap, start.now),
+      byte_budget(start.rates.bytes_per_s, start.now),
       chance(static_cast<std::uint32_t>(start.seed ^ (start.seed >> 32) ^ start.life)),
       digest_at(start.now),
       unlike(8) {
     auto& mine = at(number);
-    mine.standing = me;
+    mine.member_state = me;
     mine.state = State::Alive;
     mine.since = start.now;
     mine.zone = static_cast<std::int16_t>(zone);
-    last_slot = order.slot(start.now);
+    last_slot = probe_schedule.slot(start.now);
 }
 
 // ---- what comes
 
-void Circle::hear(Number from, std::string_view datagram, Micros now) {
+void Membership::hear(Number from, std::string_view datagram, Micros now) {
     arrive(now);
     if (from < 0) {
         seen.dropped[static_cast<std::size_t>(Dropped::Source)]++;
@@ -112,80 +112,80 @@
     take(*decoded.message, now);
     pass_on(now);
     // An answer takes its probe off the list, so the next call may be due later than was said.
-    awareness.promise(due());
+    local_health.promise(due());
 }
 
 // Each call begins here. Guards against a router that was stopped, or that had no processor, and then holds
 // against others what it did not hear meanwhile: probes under way are void, nobody is judged before being
 // asked again, and what was said of this router while it was away is answered before it is heard.
-void Circle::arrive(Micros now) {
-    auto away = awareness.away(now);
+void Membership::arrive(Micros now) {
+    auto away = local_health.away(now);
     if (away == 0) return;
     seen.away++;
     probes.clear();
-    errands.clear();
+    indirect_probes.clear();
     suspicions.set_back(away);
-    awareness.worse();
+    local_health.worse();
     // Its own slowness is no miss of others either.
-    last_slot = order.slot(now);
+    last_slot = probe_schedule.slot(now);
     say_anew(true);
     tell_some(3, now);
 }
 
-void Circle::spread(Number who, bool urgent) {
-    rumours.news(who, urgent);
+void Membership::spread(Number who, bool urgent) {
+    gossip.news(who, urgent);
     fresh |= urgent;
 }
 
 // Urgent news do not wait for the next probe while there are bytes to spare: told to three at once by each
 // that hears it for the first time, it reaches nine in ten within some delays of the network; the probes do
 // the rest.
-void Circle::pass_on(Micros now) {
+void Membership::pass_on(Micros now) {
     if (!std::exchange(fresh, false)) return;
-    if (allowance.left(now) > rates.bytes_per_s * kept_back(Need::Spare)) tell_some(3, now);
+    if (byte_budget.left(now) > rates.bytes_per_s * kept_back(SendPriority::Spare)) tell_some(3, now);
 }
 
 // Word to some at once that would else wait for the next probe.
-void Circle::tell_some(std::size_t many, Micros now) {
+void Membership::tell_some(std::size_t many, Micros now) {
     for (auto who : pick(many, -1)) {
         Message news;
         news.kind = Kind::News;
-        send(who, news, Need::Answer, now);
+        send(who, news, SendPriority::Answer, now);
     }
 }
 
-void Circle::take(const Message& message, Micros now) {
+void Membership::take(const Message& message, Micros now) {
     auto& sender = at(message.from);
-    if (message.self.life < sender.standing.life) {
+    if (message.self.life < sender.member_state.life) {
         // An old life's datagram, still under way; or a new life whose clock was set back, which has to hear
         // it.
         Message heard;
         heard.kind = Kind::Heard;
         heard.probe = message.probe;
         if (message.kind == Kind::Ping)
-            send(message.from, heard, Need::Answer, now, {{message.from, sender.standing}});
+            send(message.from, heard, SendPriority::Answer, now, {{message.from, sender.member_state}});
         return;
     }
     heard_any = now;
     sender.heard = now;
     if (message.zone >= 0) sender.zone = static_cast<std::int16_t>(message.zone);
     take(Account{message.from, message.self}, message.from, now);
-    if (hearings.heard(message.from, now)) note_cut(message.from, number, false, message.from, now);
+    if (reachability.heard(message.from, now)) note_cut(message.from, number, false, message.from, now);
 
-    if (passenger && !message.cargo.empty())
-        passenger->unload(message.from, message.self.life, message.cargo, now);
+    if (piggyback && !message.payload.empty())
+        piggyback->unload(message.from, message.self.life, message.payload, now);
     for (auto& account : message.accounts) take(account, message.from, now);
     for (auto& one : message.accusations) {
         // It goes with an account in the same datagram, and about what is known here as the same.
         auto about = std::find_if(message.accounts.begin(), message.accounts.end(),
                                   [&](auto& account) { return account.who == one.accused; });
         if (one.accused == number || about == message.accounts.end()) continue;
-        auto& known = at(one.accused).standing;
-        if (known == about->standing && known.verdict == Verdict::Suspected)
+        auto& known = at(one.accused).member_state;
+        if (known == about->member_state && known.verdict == Verdict::Suspected)
             accuse(one.accused, one.accuser, one.age, now);
     }
-    for (auto& one : message.hearings)
-        if (hearings.told(one, at(one.listener).standing.life, now))
+    for (auto& one : message.link_reports)
+        if (reachability.told(one, at(one.listener).member_state.life, now))
             note_cut(one.speaker, one.listener, one.cut, message.from, now);
 
     switch (message.kind) {
@@ -194,7 +194,7 @@
         case Kind::Heard:
             return answered(message, now);
         case Kind::Ask:
-            return run_errand(message, now);
+            return probe_for_another(message, now);
         case Kind::No:
             for (auto& probe : probes)
                 if (probe.number == message.probe && probe.target == message.about) probe.noes++;
@@ -206,23 +206,23 @@
     }
 }
 
-void Circle::take(const Account& account, Number by, Micros now) {
-    if (account.who == number) return about_me(account.standing);
+void Membership::take(const Account& account, Number by, Micros now) {
+    if (account.who == number) return about_me(account.member_state);
     auto& member = at(account.who);
-    auto joined = join(member.standing, account.standing);
-    if (joined == member.standing) {
+    auto joined = join(member.member_state, account.member_state);
+    if (joined == member.member_state) {
         if (by == account.who) return;
-        if (account.standing == joined)
-            rumours.heard_again(account.who);
+        if (account.member_state == joined)
+            gossip.heard_again(account.who);
         else
-            rumours.put_right(account.who);  // the teller is behind, and most likely others are
+            gossip.put_right(account.who);  // the teller is behind, and most likely others are
         return;
     }
-    auto before = std::exchange(member.standing, joined);
+    auto before = std::exchange(member.member_state, joined);
     member.changed = now;
     if (before.ill != joined.ill && health_news.size() < most_changes)
         health_news.push_back({account.who, joined.ill});
-    if (before.life != joined.life) hearings.forget(account.who);
+    if (before.life != joined.life) reachability.forget(account.who);
     if (joined.verdict != Verdict::Suspected || before.life != joined.life ||
         before.incarnation != joined.incarnation)
         suspicions.acquit(account.who);
@@ -235,7 +235,7 @@
 
 // What others say of this router. A new word of its own answers an accusation; a new life whatever this life
 // can't have said: another life, an end, an incarnation beyond all.
-void Circle::about_me(const Standing& told) {
+void Membership::about_me(const MemberState& told) {
     if (told.life < me.life) return;
     if (told.life > me.life || (told.phase > me.phase) || told.incarnation >= most_incarnation) {
         me.life = std::max(me.life, told.life);
@@ -245,33 +245,33 @@
     if (told.incarnation <= me.incarnation && !accused) return;
     me.incarnation = told.incarnation;
     seen.refuted++;
-    awareness.worse();
+    local_health.worse();
     say_anew(true);
 }
 
-void Circle::new_life() {
+void Membership::new_life() {
     me.life++;
     me.incarnation = 0;
-    at(number).standing = me;
+    at(number).member_state = me;
     spread(number, true);
 }
 
-void Circle::say_anew(bool urgent) {
+void Membership::say_anew(bool urgent) {
     if (me.incarnation + 1 >= most_incarnation) return new_life();
     me.incarnation++;
-    at(number).standing = me;
+    at(number).member_state = me;
     spread(number, urgent);
 }
 
 // ---- probes
 
-void Circle::pass(Micros now) {
+void Membership::pass(Micros now) {
     arrive(now);
-    auto slot = order.slot(now);
+    auto slot = probe_schedule.slot(now);
     if (routers() > 1 && slot > last_slot) {
         // In doubt of itself a router asks more rarely.
-        auto target = order.target(slot);
-        if (slot % awareness.stretch() == 0) probe(target, now);
+        auto target = probe_schedule.target(slot);
+        if (slot % local_health.stretch() == 0) probe(target, now);
         last_slot = slot;
     }
     for (std::size_t i = 0; i < probes.size();) {
@@ -285,16 +285,16 @@
         probes.erase(probes.begin() + static_cast<std::ptrdiff_t>(i));
         end_probe(ended, now);
     }
-    for (auto& one : errands)
+    for (auto& one : indirect_probes)
         if (!one.said_no && now >= one.say_no_at) {
             Message no;
             no.kind = Kind::No;
             no.probe = one.number;
             no.about = one.target;
-            send(one.asker, no, Need::Errand, now);
+            send(one.asker, no, SendPriority::IndirectProbe, now);
             one.said_no = true;
         }
-    std::erase_if(errands, [&](auto& one) { return now >= one.end; });
+    std::erase_if(indirect_probes, [&](auto& one) { return now >= one.end; });
     if (now >= look_again_at) {
         look_again(now);
         look_again_at = now + rates.period * 3;
@@ -303,37 +303,37 @@
     pass_on(now);
     if (now >= digest_at && routers() > 1) send_digest(now);
     if (now >= expire_at) {
-        hearings.expire(now);
+        reachability.expire(now);
         expire_at = now + 1000 * ms;
     }
-    passenger_waits = false;  // it says so again, each time before this
-    awareness.promise(due());
+    piggyback_waits = false;  // it says so again, each time before this
+    local_health.promise(due());
 }
 
-Micros Circle::due() const {
-    auto at = order.start(last_slot + 1);
+Micros Membership::due() const {
+    auto at = probe_schedule.start(last_slot + 1);
     for (auto& one : probes) at = std::min(at, one.passed_on ? one.end : std::min(one.step_at, one.end));
-    for (auto& one : errands)
+    for (auto& one : indirect_probes)
         if (!one.said_no) at = std::min(at, one.say_no_at);
     return at;
 }
 
-void Circle::probe(Number target, Micros now) {
+void Membership::probe(Number target, Micros now) {
     if (probes.size() >= most_probes) return;
     Message ping;
     ping.kind = Kind::Ping;
     ping.probe = next_probe;
     next_probe = next_probe % 0x3fff + 1;  // two bytes on the wire
-    if (!send(target, ping, Need::Probe, now)) return;
-    auto wait = rates.period * awareness.stretch();
+    if (!send(target, ping, SendPriority::Probe, now)) return;
+    auto wait = rates.period * local_health.stretch();
     probes.push_back({ping.probe, target, now, now + rates.period / 6, now + wait});
     // Where one direction is known to be cut, helpers are asked at once, and the ping only tells whether it
     // still is.
-    if (hearings.cut(number, target) || hearings.cut(target, number)) step(probes.back(), now);
+    if (reachability.cut(number, target) || reachability.cut(target, number)) step(probes.back(), now);
 }
 
 // Whether it is worth more than one ping, and an accusation: it is not given up, nor has it gone.
-bool Circle::thought_there(Number who) const {
+bool Membership::thought_there(Number who) const {
     auto state = at(who).state;
     return state == State::Alive || state == State::Suspected || state == State::Silent ||
            state == State::Leaving;
@@ -342,22 +342,22 @@
 // No answer so far. A lost datagram is the likeliest cause, and a second ping costs less than helpers do;
 // from then on it is asked straight and through others, other ones each time. All that is known of zones goes
 // into the choice of helpers, since what cuts one off cuts off its neighbours.
-void Circle::step(Probe& probe, Micros now) {
-    probe.step_at = now + rates.period / 6 * awareness.stretch();
+void Membership::step(Probe& probe, Micros now) {
+    probe.step_at = now + rates.period / 6 * local_health.stretch();
     // Whom it has accused already, it only tells so.
     auto* suspicion = suspicions.find(probe.target);
     bool said = suspicion && !suspicion->ask_first &&
                 std::count(suspicion->accusers.begin(), suspicion->accusers.end(), number);
     if (!thought_there(probe.target) || said) return;
-    bool cut = hearings.cut(number, probe.target) || hearings.cut(probe.target, number);
+    bool cut = reachability.cut(number, probe.target) || reachability.cut(probe.target, number);
     if (cut) {
-        probe.step_at = now + rates.period / 3 * awareness.stretch();
+        probe.step_at = now + rates.period / 3 * local_health.stretch();
         probe.steps++;
     } else {
         Message ping;
         ping.kind = Kind::Ping;
         ping.probe = probe.number;
-        probe.starved |= !send(probe.target, ping, Need::Insist, now);
+        probe.starved |= !send(probe.target, ping, SendPriority::Insist, now);
     }
     if (probe.steps++ == 0) return;
     for (auto helper : pick(static_cast<std::size_t>(probe.steps < 4 ? 1 : rates.helpers), probe.target)) {
@@ -366,7 +366,7 @@
         ask.probe = probe.number;
         ask.about = probe.target;
         // Those asked later have no time to say no.
-        bool sent = send(helper, ask, Need::Insist, now);
+        bool sent = send(helper, ask, SendPriority::Insist, now);
         probe.starved |= !sent;
         if (sent && probe.steps <= 3) probe.helpers++;
     }
@@ -374,12 +374,12 @@
 
 // Up to `most` that are alive here, can be talked with both ways, and can talk with `but` as far as is known,
 // drawn at random, of as many zones as can be.
-std::vector<Number> Circle::pick(std::size_t most, Number but, int in_zone) {
+std::vector<Number> Membership::pick(std::size_t most, Number but, int in_zone) {
     std::vector<Number> able;
     for (Number who = 0; who < routers(); who++)
-        if (who != number && who != but && at(who).state == State::Alive && !hearings.cut(number, who) &&
+        if (who != number && who != but && at(who).state == State::Alive && !reachability.cut(number, who) &&
             (in_zone < 0 || at(who).zone == in_zone) &&
-            (but < 0 || (!hearings.cut(who, but) && !hearings.cut(but, who))))
+            (but < 0 || (!reachability.cut(who, but) && !reachability.cut(but, who))))
             able.push_back(who);
     std::vector<Number> picked;
     std::vector<int> zones;
@@ -395,13 +395,13 @@
     return picked;
 }
 
-void Circle::end_probe(const Probe& probe, Micros now) {
+void Membership::end_probe(const Probe& probe, Micros now) {
     auto& target = at(probe.target);
     suspicions.asked(probe.target);
     if (target.heard >= probe.sent && !probe.passed_on) return;  // whatever came of it, it is there
     if (probe.passed_on) {
         // Others hear it. Which direction is cut it tells itself, or it is this one.
-        if (target.heard < probe.sent && hearings.missed(probe.target, now))
+        if (target.heard < probe.sent && reachability.missed(probe.target, now))
             note_cut(probe.target, number, true, probe.helper, now);
         return;
     }
@@ -409,21 +409,21 @@
     if (!thought_there(probe.target) || probe.starved) return;
     // Who is known to be cut off from it one way is no witness: others judge. The fact ends by itself after a
     // minute without a sign of it.
-    if (hearings.cut(number, probe.target) || hearings.cut(probe.target, number)) return;
+    if (reachability.cut(number, probe.target) || reachability.cut(probe.target, number)) return;
     // A helper that says no shows that this router is heard; those that say nothing put itself in doubt.
-    if (probe.noes < probe.helpers || (probe.steps > 1 && probe.helpers == 0)) awareness.worse();
+    if (probe.noes < probe.helpers || (probe.steps > 1 && probe.helpers == 0)) local_health.worse();
     seen.accused++;
     accuse(probe.target, number, 0, now);
     // The accused hears it first, so that it can answer before many have to be told otherwise.
     Message news;
     news.kind = Kind::News;
-    send(probe.target, news, Need::Answer, now);
+    send(probe.target, news, SendPriority::Answer, now);
 }
 
-// What is doubtful is asked again beside the order: pairs that seem cut one way, whom this router may not
-// judge before it has asked, and whom it has accused itself: each ping tells the accused what there is to
-// answer.
-void Circle::look_again(Micros now) {
+// What is doubtful is asked again beside the probe_schedule: pairs that seem cut one way, whom this router
+// may not judge before it has asked, and whom it has accused itself: each ping tells the accused what there
+// is to answer.
+void Membership::look_again(Micros now) {
     int asked = 0;
     auto again = [&](Number who) {
         bool under_way = std::any_of(probes.begin(), probes.end(), [&](auto& p) { return p.target == who; });
@@ -435,11 +435,11 @@
         if (one.ask_first || std::count(one.accusers.begin(), one.accusers.end(), number)) again(who);
     for (Number step = 0; step < routers() && asked < most_again; step++) {
         auto who = (number + 1 + step) % routers();
-        if (who != number && hearings.doubtful(who)) again(who);
+        if (who != number && reachability.doubtful(who)) again(who);
     }
 }
 
-void Circle::answer_ping(const Message& ping, Micros now) {
+void Membership::answer_ping(const Message& ping, Micros now) {
     Message heard;
     heard.kind = Kind::Heard;
     heard.probe = ping.probe;
@@ -447,36 +447,38 @@
         // What the asking one holds and is out of date goes back at once.
         std::vector<Account> better;
         for (auto& account : ping.accounts) {
-            auto& known = at(account.who).standing;
-            if (account.who != number && !(known == account.standing) && better.size() < most_forced)
+            auto& known = at(account.who).member_state;
+            if (account.who != number && !(known == account.member_state) && better.size() < most_forced)
                 better.push_back({account.who, known});
         }
-        send(ping.from, heard, Need::Answer, now, better);
+        send(ping.from, heard, SendPriority::Answer, now, better);
         return;
     }
     // For somebody whose own ping should have come as well. Back through the helper, and straight: so both
     // ends learn which directions are whole.
     heard.about = ping.about;
     heard.direct = at(ping.about).heard > now - rates.period * 4;
-    send(ping.from, heard, Need::Answer, now);
-    if (!heard.direct && hearings.missed(ping.about, now)) note_cut(ping.about, number, true, ping.from, now);
+    send(ping.from, heard, SendPriority::Answer, now);
+    if (!heard.direct && reachability.missed(ping.about, now))
+        note_cut(ping.about, number, true, ping.from, now);
     heard.about = -1;
-    send(ping.about, heard, Need::Answer, now);
+    send(ping.about, heard, SendPriority::Answer, now);
 }
 
-void Circle::answered(const Message& heard, Micros now) {
+void Membership::answered(const Message& heard, Micros now) {
     if (heard.about >= 0 && heard.about != number) {
-        // An answer to an errand: pass it on.
-        for (auto& errand : errands)
-            if (errand.number == heard.probe && errand.target == heard.from && errand.asker == heard.about) {
+        // An answer to an indirect_probe: pass it on.
+        for (auto& indirect_probe : indirect_probes)
+            if (indirect_probe.number == heard.probe && indirect_probe.target == heard.from &&
+                indirect_probe.asker == heard.about) {
                 Message passed;
                 passed.kind = Kind::Heard;
                 passed.probe = heard.probe;
                 passed.about = heard.about;
                 passed.direct = heard.direct;
-                send(errand.asker, passed, Need::Errand, now);
-                errand.end = now;
-                errand.said_no = true;
+                send(indirect_probe.asker, passed, SendPriority::IndirectProbe, now);
+                indirect_probe.end = now;
+                indirect_probe.said_no = true;
                 return;
             }
         return;
@@ -485,8 +487,8 @@
         auto& probe = probes[i];
         if (probe.number != heard.probe) continue;
         if (heard.from == probe.target) {
-            if (probe.steps == 0) awareness.better();
-            if (probe.steps > 1 && probe.noes < probe.helpers) awareness.worse();
+            if (probe.steps == 0) local_health.better();
+            if (probe.steps > 1 && probe.noes < probe.helpers) local_health.worse();
             suspicions.asked(probe.target);
             probes.erase(probes.begin() + static_cast<std::ptrdiff_t>(i));
         } else {
@@ -497,32 +499,34 @@
     }
 }
 
-void Circle::run_errand(const Message& ask, Micros now) {
-    if (ask.about == number || ask.about == ask.from || errands.size() >= most_errands) return;
+void Membership::probe_for_another(const Message& ask, Micros now) {
+    if (ask.about == number || ask.about == ask.from || indirect_probes.size() >= most_indirect_probes)
+        return;
     Message ping;
     ping.kind = Kind::Ping;
     ping.probe = ask.probe;
     ping.about = ask.from;
-    if (!send(ask.about, ping, Need::Errand, now)) return;
-    errands.push_back({ask.probe, ask.from, ask.about, now + rates.period / 6, now + rates.period * 4});
+    if (!send(ask.about, ping, SendPriority::IndirectProbe, now)) return;
+    indirect_probes.push_back(
+        {ask.probe, ask.from, ask.about, now + rates.period / 6, now + rates.period * 4});
 }
 
 // ---- judging
 
-void Circle::accuse(Number who, Number accuser, Micros age, Micros now) {
+void Membership::accuse(Number who, Number accuser, Micros age, Micros now) {
     auto& member = at(who);
-    auto& standing = member.standing;
-    if (who == number || standing.life == 0 || standing.phase == Phase::Gone ||
-        standing.verdict == Verdict::Dead)
+    auto& member_state = member.member_state;
+    if (who == number || member_state.life == 0 || member_state.phase == Phase::Gone ||
+        member_state.verdict == Verdict::Dead)
         return;
-    standing.verdict = Verdict::Suspected;
+    member_state.verdict = Verdict::Suspected;
     // Who is known to be cut off from it on one way is no second witness.
-    if (accuser >= 0 && (hearings.cut(accuser, who) || hearings.cut(who, accuser))) accuser = -1;
+    if (accuser >= 0 && (reachability.cut(accuser, who) || reachability.cut(who, accuser))) accuser = -1;
     if (suspicions.accuse(who, accuser, age, now)) spread(who, true);
     note(who, accuser, now);
 }
 
-void Circle::judge(Micros now) {
+void Membership::judge(Micros now) {
     std::vector<Number> due, last_calls;
     for (auto& [who, one] : suspicions.all()) {
         auto when = suspicions.due(one, at(who).heard);
@@ -535,50 +539,51 @@
         Message ping;
         ping.kind = Kind::Ping;
         suspicions.called(who);
-        send(who, ping, Need::News, now);
-        for (auto other : pick(2, who)) send(other, ping, Need::News, now, {{who, at(who).standing}});
+        send(who, ping, SendPriority::News, now);
+        for (auto other : pick(2, who))
+            send(other, ping, SendPriority::News, now, {{who, at(who).member_state}});
     }
     for (auto who : due) {
         suspicions.acquit(who);
-        if (at(who).standing.verdict != Verdict::Suspected) continue;
-        at(who).standing.verdict = Verdict::Dead;
+        if (at(who).member_state.verdict != Verdict::Suspected) continue;
+        at(who).member_state.verdict = Verdict::Dead;
         spread(who, true);
         note(who, -1, now);
     }
 }
 
-State Circle::worked_out(Number who) const {
-    auto& s = at(who).standing;
+State Membership::worked_out(Number who) const {
+    auto& s = at(who).member_state;
     if (s.life == 0) return State::Unknown;
     if (s.phase == Phase::Gone) return State::Gone;
     if (s.verdict == Verdict::Dead) return State::Dead;
     if (s.phase == Phase::Leaving) return State::Leaving;
     if (s.verdict == Verdict::Suspected) return State::Suspected;
-    return hearings.cut(who, number) ? State::Silent : State::Alive;
+    return reachability.cut(who, number) ? State::Silent : State::Alive;
 }
 
-void Circle::note(Number who, Number by, Micros now) {
+void Membership::note(Number who, Number by, Micros now) {
     auto& member = at(who);
     auto after = worked_out(who);
     if (after == member.state || who == number) return;
     auto before = std::exchange(member.state, after);
     member.since = now;
     // Nobody who does not fetch the changes makes this grow.
-    if (changed.size() < most_changes) changed.push_back({who, before, after, now, member.standing, by});
+    if (changed.size() < most_changes) changed.push_back({who, before, after, now, member.member_state, by});
 }
 
-void Circle::note_cut(Number speaker, Number listener, bool cut, Number by, Micros now) {
+void Membership::note_cut(Number speaker, Number listener, bool cut, Number by, Micros now) {
     if (cut_news.size() < most_changes) cut_news.push_back({speaker, listener, 0, cut});
     note(speaker, by, now);
 }
 
 // ---- the slow exchange
 
-void Circle::send_digest(Micros now) {
+void Membership::send_digest(Micros now) {
     bool soon = unlike > 0;
     if (unlike > 0) unlike--;
     digest_at = now + rates.period * (soon ? 2 : 10);
-    if (allowance.left(now) < rates.bytes_per_s) return;
+    if (byte_budget.left(now) < rates.bytes_per_s) return;
     auto to = pick(1, -1);
     if (to.empty()) return;
     Message digest;
@@ -589,24 +594,24 @@
         std::uint32_t hash = 0;
         for (int step = 0; step < block; step++) {
             auto who = (window + i * block + step) % routers();
-            hash = hash_of(at(who).standing, who, hash);
+            hash = hash_of(at(who).member_state, who, hash);
         }
         digest.hashes.push_back(hash);
     }
     if (blocks > most_hashes) window = (window + most_hashes * block) % routers();
-    send(to[0], digest, Need::Spare, now);
+    send(to[0], digest, SendPriority::Spare, now);
 }
 
-void Circle::compare(const Message& digest, Micros now) {
+void Membership::compare(const Message& digest, Micros now) {
     std::vector<Account> unlike_here;
     for (std::size_t i = 0; i < digest.hashes.size(); i++) {
         std::uint32_t hash = 0;
         std::vector<Account> accounts;
         for (int step = 0; step < block; step++) {
             auto who = (digest.first + static_cast<int>(i) * block + step) % routers();
-            auto& standing = at(who).standing;
-            hash = hash_of(standing, who, hash);
-            if (standing.life > 0 && who != digest.from) accounts.push_back({who, standing});
+            auto& member_state = at(who).member_state;
+            hash = hash_of(member_state, who, hash);
+            if (member_state.life > 0 && who != digest.from) accounts.push_back({who, member_state});
         }
         if (hash != digest.hashes[i]) unlike_here.insert(unlike_here.end(), accounts.begin(), accounts.end());
     }
@@ -623,20 +628,21 @@
         std::swap(unlike_here[i], unlike_here[draw(chance)]);
     }
     if (unlike_here.size() > most_told) unlike_here.resize(most_told);
-    send(digest.from, news, Need::Spare, now, unlike_here);
+    send(digest.from, news, SendPriority::Spare, now, unlike_here);
 }
 
 // ---- sending
 
 // What is left of the datagram carries news: first what is held against the receiver, so that it can answer.
-bool Circle::send(Number to, Message message, Need need_of, Micros now, const std::vector<Account>& first,
-                  bool for_passenger) {
-    auto left = allowance.left(now) / rates.bytes_per_s;
+bool Membership::send(Number to, Message message, SendPriority priority, Micros now,
+                      const std::vector<Account>& first, bool for_piggyback) {
+    auto left = byte_budget.left(now) / rates.bytes_per_s;
     // Guards against probes that use up all bytes where nobody is heard, so that others never hear what this
     // router alone was told.
-    auto saved_up =
-        passenger_waits && !for_passenger && need_of >= Need::Insist ? own_datagram / rates.bytes_per_s : 0;
-    if (to == number || left <= kept_back(need_of) + saved_up) {
+    auto saved_up = piggyback_waits && !for_piggyback && priority >= SendPriority::Insist
+                        ? own_datagram / rates.bytes_per_s
+                        : 0;
+    if (to == number || left <= kept_back(priority) + saved_up) {
         seen.held_back++;
         return false;
     }
@@ -645,29 +651,31 @@
     message.zone = zone;
     auto base = encode(message).size();
     // Rough sizes, so that few are taken off again; a third of what is saved goes into one datagram.
-    constexpr std::size_t account_bytes = 10, accuser_bytes = 6, hearing_bytes = 6, tags = 18;
-    auto spare_bytes = std::max(0.0, (left - kept_back(Need::News)) * rates.bytes_per_s / 3);
+    constexpr std::size_t account_bytes = 10, accuser_bytes = 6, link_report_bytes = 6, tags = 18;
+    auto spare_bytes = std::max(0.0, (left - kept_back(SendPriority::News)) * rates.bytes_per_s / 3);
     auto room = std::min<double>(static_cast<double>(longest), static_cast<double>(base) + spare_bytes);
     auto add = [&](Number who) {
-        auto& standing = at(who).standing;
-        if (standing.life == 0 || who == number) return;
+        auto& member_state = at(who).member_state;
+        if (member_state.life == 0 || who == number) return;
         for (auto& one : message.accounts)
             if (one.who == who) return;
         auto need = base + tags + (message.accounts.size() + 1) * account_bytes +
-                    message.accusations.size() * accuser_bytes + message.hearings.size() * hearing_bytes;
+                    message.accusations.size() * accuser_bytes +
+                    message.link_reports.size() * link_report_bytes;
         if (static_cast<double>(need) > room && (first.empty() || first.size() > most_forced)) {
-            if (first.empty()) rumours.untold(who);
+            if (first.empty()) gossip.untold(who);
             return;
         }
-        message.accounts.push_back({who, standing});
+        message.accounts.push_back({who, member_state});
         auto* suspicion = suspicions.find(who);
-        if (standing.verdict != Verdict::Suspected || !suspicion) return;
+        if (member_state.verdict != Verdict::Suspected || !suspicion) return;
         for (auto accuser : suspicion->accusers)
             message.accusations.push_back({who, accuser, now - suspicion->since});
     };
     // Guards against a router that never hears what it is accused of: this comes whatever it costs.
-    if (at(to).standing.life > 0 && at(to).standing.verdict != Verdict::Alive && base + 40 <= longest) {
-        message.accounts.push_back({to, at(to).standing});
+    if (at(to).member_state.life > 0 && at(to).member_state.verdict != Verdict::Alive &&
+        base + 40 <= longest) {
+        message.accounts.push_back({to, at(to).member_state});
         auto* suspicion = suspicions.find(to);
         if (suspicion && !suspicion->accusers.empty())
             message.accusations.push_back({to, suspicion->accusers.front(), now - suspicion->since});
@@ -675,21 +683,21 @@
     for (auto& one : first) add(one.who);
     if (first.empty()) {
         auto spare = room - static_cast<double>(base) - tags;
-        if (spare > hearing_bytes) {
-            message.hearings = hearings.to_tell(
-                std::min<std::size_t>(6, static_cast<std::size_t>(spare / hearing_bytes)), rumours.most());
+        if (spare > link_report_bytes) {
+            message.link_reports = reachability.to_tell(
+                std::min<std::size_t>(6, static_cast<std::size_t>(spare / link_report_bytes)), gossip.most());
             auto places = static_cast<std::size_t>(
-                std::max(0.0, spare - static_cast<double>(message.hearings.size() * hearing_bytes)) /
+                std::max(0.0, spare - static_cast<double>(message.link_reports.size() * link_report_bytes)) /
                 account_bytes);
-            for (auto who : rumours.next(places)) add(who);
+            for (auto who : gossip.next(places)) add(who);
         }
     }
     auto bytes = encode(message);
     while (bytes.size() > longest) {
         if (!message.accounts.empty())
             message.accounts.pop_back();
-        else if (!message.hearings.empty())
-            message.hearings.pop_back();
+        else if (!message.link_reports.empty())
+            message.link_reports.pop_back();
         else
             message.hashes.pop_back();
         std::erase_if(message.accusations, [&](auto& one) {
@@ -698,33 +706,33 @@
         });
         bytes = encode(message);
     }
-    if (passenger && bytes.size() + cargo_tag + least_cargo <= longest) {
-        auto keep = passenger_waits ? 0 : kept_back(for_passenger ? need_of : Need::News);
+    if (piggyback && bytes.size() + payload_tag + least_payload <= longest) {
+        auto keep = piggyback_waits ? 0 : kept_back(for_piggyback ? priority : SendPriority::News);
         auto spare = std::max(0.0, (left - keep) * rates.bytes_per_s - static_cast<double>(bytes.size()));
-        auto free = std::min(longest - bytes.size() - cargo_tag, static_cast<std::size_t>(spare));
-        if (free >= least_cargo) message.cargo = passenger->load(to, free, now);
-        if (message.cargo.size() > free) message.cargo.clear();
-        seen.cargo_bytes += message.cargo.size();
-        if (!message.cargo.empty()) bytes = encode(message);
+        auto free = std::min(longest - bytes.size() - payload_tag, static_cast<std::size_t>(spare));
+        if (free >= least_payload) message.payload = piggyback->load(to, free, now);
+        if (message.payload.size() > free) message.payload.clear();
+        seen.payload_bytes += message.payload.size();
+        if (!message.payload.empty()) bytes = encode(message);
     }
-    allowance.spend(bytes.size());
+    byte_budget.spend(bytes.size());
     seen.sent++;
     seen.bytes_sent += bytes.size();
     out.push_back({to, std::move(bytes)});
     return true;
 }
 
-bool Circle::tell(Number to, bool urgent, Micros now) {
+bool Membership::tell(Number to, bool urgent, Micros now) {
     Message news;
     news.kind = Kind::News;
-    auto need = urgent ? Need::Errand : Need::Spare;
+    auto need = urgent ? SendPriority::IndirectProbe : SendPriority::Spare;
     // Guards against datagrams that have no room for what they are sent for.
-    bool enough = allowance.left(now) - kept_back(need) * rates.bytes_per_s >= own_datagram;
+    bool enough = byte_budget.left(now) - kept_back(need) * rates.bytes_per_s >= own_datagram;
     if (!enough) return false;
     return send(to, news, need, now, {}, true);
 }
 
-bool Circle::tell(std::size_t most, int in_zone, bool urgent, Micros now) {
+bool Membership::tell(std::size_t most, int in_zone, bool urgent, Micros now) {
     auto to = pick(most, -1, in_zone);
     // Who hears nobody may still be heard: it speaks to those that were there last.
     for (Number step = 1; to.empty() && step < routers(); step++) {
@@ -736,31 +744,31 @@
     }
     bool sent = false;
     for (auto who : to) sent |= tell(who, urgent, now);
-    passenger_waits = urgent && !sent;
+    piggyback_waits = urgent && !sent;
     return sent;
 }
 
-double Circle::spare(Micros now) {
-    return std::max(0.0, allowance.left(now) - kept_back(Need::Spare) * rates.bytes_per_s);
+double Membership::spare(Micros now) {
+    return std::max(0.0, byte_budget.left(now) - kept_back(SendPriority::Spare) * rates.bytes_per_s);
 }
 
 // ---- what the router says of itself
 
-void Circle::leave(Micros now) {
+void Membership::leave(Micros now) {
     if (me.phase != Phase::Here) return;
     me.phase = Phase::Leaving;
     say_anew(true);
     tell_some(4, now);
 }
 
-void Circle::gone(Micros now) {
+void Membership::gone(Micros now) {
     me.phase = Phase::Gone;
     say_anew(true);
     // Its last chance to be heard, so more are told.
     tell_some(6, now);
 }
 
-void Circle::ill(bool yes) {
+void Membership::ill(bool yes) {
     if (me.ill == yes) return;
     me.ill = yes;
     say_anew(true);
@@ -768,19 +776,19 @@
 
 // ---- what others ask
 
-State Circle::state(Number who) const { return at(who).state; }
+State Membership::state(Number who) const { return at(who).state; }
 
-View Circle::view(Number who, Micros now) const {
+View Membership::view(Number who, Micros now) const {
     auto& member = at(who);
     View view;
     view.state = member.state;
     view.since = member.since;
-    view.ill = member.standing.ill;
+    view.ill = member.member_state.ill;
     view.zone = member.zone;
-    view.standing = member.standing;
+    view.member_state = member.member_state;
     view.heard = member.heard;
-    view.hears_me = !hearings.cut(number, who);
-    view.is_heard = !hearings.cut(who, number);
+    view.hears_me = !reachability.cut(number, who);
+    view.is_heard = !reachability.cut(who, number);
     // As long as somebody is heard, no news of a router is news; alone, all that is known grows old.
     auto alone =
         static_cast<double>(now - std::max(heard_any, member.heard)) / static_cast<double>(rates.longest);
@@ -807,7 +815,7 @@
     return view;
 }
 
-Counts Circle::counts() const {
+Counts Membership::counts() const {
     Counts counts;
     for (auto& member : members) {
         auto state = member.state;
@@ -817,7 +825,7 @@
     return counts;
 }
 
-std::size_t Circle::bytes_held() const {
+std::size_t Membership::bytes_held() const {
     auto one = sizeof(Member) + sizeof(std::uint16_t) + sizeof(Number) + 8;
     return sizeof *this + members.size() * one + suspicions.all().size() * (sizeof(Suspicion) + 64);
 }
--- a/src/peers/circle.hpp
+++ b/src/peers/membership.hpp
@@ -1,12 +1,12 @@
-// Who of the routers is there. One Circle is one router's view and its part in the protocol: it is told the
-// time and the datagrams that came, and gives back datagrams to send and what has changed. No clock, socket
-// or thread.
+// Who of the routers is there. One Membership is one router's view and its part in the protocol: it is told
+// the time and the datagrams that came, and gives back datagrams to send and what has changed. No clock,
+// socket or thread.
 //
-//     Circle circle(start);
-//     for (auto& [from, bytes] : what_came) circle.hear(from, bytes, now);
-//     circle.pass(now);                      // after all that came was heard, and again at circle.due()
-//     for (auto& one : circle.outgoing()) send(one.to, one.bytes);
-//     for (auto& one : circle.changes()) tell(one);
+//     Membership membership(start);
+//     for (auto& [from, bytes] : what_came) membership.hear(from, bytes, now);
+//     membership.pass(now);                      // after all that came was heard, and again at
+//     membership.due() for (auto& one : membership.outgoing()) send(one.to, one.bytes); for (auto& one :
+//     membership.changes()) tell(one);
 //
 // What it promises, and what follows for safety:
 //   - Nothing here is proof that a router is gone. A cut looks like death to both of its sides, a pause to
@@ -30,13 +30,13 @@
 #include <string_view>
 #include <vector>
 
-#include "peers/allowance.hpp"
-#include "peers/awareness.hpp"
-#include "peers/hearing.hpp"
+#include "peers/byte_budget.hpp"
+#include "peers/gossip_queue.hpp"
+#include "peers/local_health.hpp"
+#include "peers/member_state.hpp"
 #include "peers/message.hpp"
-#include "peers/order.hpp"
-#include "peers/rumours.hpp"
-#include "peers/standing.hpp"
+#include "peers/probe_schedule.hpp"
+#include "peers/reachability.hpp"
 #include "peers/suspicion.hpp"
 
 namespace quillgrade::peers {
@@ -77,7 +77,7 @@
     Number who;
     State before, after;
     Micros at;
-    Standing standing;
+    MemberState member_state;
     Number by;  // the accuser, helper or teller that made it so; `who` itself where it was heard; -1: a time
                 // ran out
 };
@@ -88,7 +88,7 @@
     double sure = 0;   // 0 to 1. 1 only for what the router said of itself; falls while I hear nobody
     bool ill = false;  // it answers us, but says that it gets no lookups handled
     int zone = -1;     // -1: not heard yet
-    Standing standing{};
+    MemberState member_state{};
     Micros heard = 0;                       // the last datagram of its own, 0: none
     bool hears_me = true, is_heard = true;  // the two directions between it and me; true while not known cut
 };
@@ -110,9 +110,9 @@
 };
 
 // What rides along on datagrams that are sent anyway, in room that the membership leaves.
-class Passenger {
+class Piggyback {
 public:
-    virtual ~Passenger() = default;
+    virtual ~Piggyback() = default;
     // At most `room` bytes for `to`, which are then sent once; empty: nothing.
     virtual std::string load(Number to, std::size_t room, Micros now) = 0;
     // What rode along and has come, before what it came with is answered. `life` is the sender's.
@@ -120,14 +120,14 @@
 };
 
 struct Figures {
-    std::uint64_t cargo_bytes = 0;
+    std::uint64_t payload_bytes = 0;
     std::uint64_t sent = 0, bytes_sent = 0, heard = 0, held_back = 0, away = 0, refuted = 0, accused = 0;
     std::array<std::uint64_t, static_cast<std::size_t>(Dropped::Last)> dropped{};
 };
 
-class Circle {
+class Membership {
 public:
-    explicit Circle(const Start& start);
+    explicit Membership(const Start& start);
 
     // A datagram from the address of router `from` in the list; -1: from an address that is not in it.
     void hear(Number from, std::string_view datagram, Micros now);
@@ -138,21 +138,23 @@
     void ill(bool yes);      // whether it gets its lookups handled
     std::vector<Outgoing> outgoing() { return std::exchange(out, {}); }
     std::vector<Change> changes() { return std::exchange(changed, {}); }
-    std::vector<Hearing> heard_of() { return std::exchange(cut_news, {}); }  // one-sided cuts and their ends
+    std::vector<LinkReport> heard_of() {
+        return std::exchange(cut_news, {});
+    }  // one-sided cuts and their ends
 
     std::vector<Health> health() {
         return std::exchange(health_news, {});
     }  // who says it is ill, or well again
 
-    // Null: nobody rides. It has to outlive the circle, or be taken off.
-    void carry(Passenger* rider) { passenger = rider; }
+    // Null: nobody rides. It has to outlive the membership, or be taken off.
+    void carry(Piggyback* rider) { piggyback = rider; }
     // Datagrams for the passenger's sake, to `most` routers that are alive and can be talked with, of
     // `in_zone` where that is not -1. False where the bytes for that are used up. Urgent ones may take what
     // answers may.
     bool tell(std::size_t most, int in_zone, bool urgent, Micros now);
     bool tell(Number to, bool urgent, Micros now);
     // The same to one, and where the bytes for it are not there they are saved up.
-    bool insist(Number to, Micros now) { return !(passenger_waits = !tell(to, true, now)); }
+    bool insist(Number to, Micros now) { return !(piggyback_waits = !tell(to, true, now)); }
     // Bytes that may be sent for the passenger's sake now.
     double spare(Micros now);
 
@@ -162,15 +164,15 @@
     int own_zone() const { return zone; }
     Number number_of_self() const { return number; }
     Counts counts() const;
-    std::vector<Hearing> cuts() const { return hearings.cuts(); }
-    const Standing& self() const { return me; }
+    std::vector<LinkReport> cuts() const { return reachability.cuts(); }
+    const MemberState& self() const { return me; }
     const Figures& figures() const { return seen; }
     int routers() const { return static_cast<int>(members.size()); }
     std::size_t bytes_held() const;
 
 private:
     struct Member {
-        Standing standing;
+        MemberState member_state;
         Micros since = 0, heard = 0, changed = 0;
         State state = State::Unknown;
         std::int16_t zone = -1;
@@ -183,22 +185,22 @@
         int steps = 0, helpers = 0, noes = 0;
         Number helper = -1;
     };
-    struct Errand {  // a probe for somebody else
+    struct IndirectProbe {  // a probe for somebody else
         std::uint32_t number;
         Number asker, target;
         Micros say_no_at, end;
         bool said_no = false;
     };
 
-    // In order: what others make this router send never takes the bytes of its own probes, nor news those of
-    // answers.
-    enum class Need { Probe, Answer, Insist, Errand, News, Spare };
-    static double kept_back(Need need);
+    // In probe_schedule: what others make this router send never takes the bytes of its own probes, nor news
+    // those of answers.
+    enum class SendPriority { Probe, Answer, Insist, IndirectProbe, News, Spare };
+    static double kept_back(SendPriority need);
 
     void arrive(Micros now);
     void take(const Message& message, Micros now);
     void take(const Account& account, Number by, Micros now);
-    void about_me(const Standing& told);
+    void about_me(const MemberState& told);
     void accuse(Number who, Number accuser, Micros age, Micros now);
     void judge(Micros now);
     void note(Number who, Number by, Micros now);
@@ -212,7 +214,7 @@
 
     void answer_ping(const Message& ping, Micros now);
     void answered(const Message& heard, Micros now);
-    void run_errand(const Message& ask, Micros now);
+    void probe_for_another(const Message& ask, Micros now);
     void compare(const Message& digest, Micros now);
 
     void probe(Number target, Micros now);
@@ -222,31 +224,31 @@
     void look_again(Micros now);
     void send_digest(Micros now);
     std::vector<Number> pick(std::size_t most, Number but, int in_zone = -1);
-    bool send(Number to, Message message, Need need, Micros now, const std::vector<Account>& first = {},
-              bool for_passenger = false);
+    bool send(Number to, Message message, SendPriority need, Micros now,
+              const std::vector<Account>& first = {}, bool for_piggyback = false);
     Member& at(Number who) { return members[static_cast<std::size_t>(who)]; }
     const Member& at(Number who) const { return members[static_cast<std::size_t>(who)]; }
 
     Number number;
     int zone;
     Rates rates;
-    Standing me;
+    MemberState me;
     std::vector<Member> members;
-    Order order;
+    ProbeSchedule probe_schedule;
     Suspicions suspicions;
-    Hearings hearings;
-    Rumours rumours;
-    Awareness awareness;
-    Allowance allowance;
+    Reachability reachability;
+    GossipQueue gossip;
+    LocalHealth local_health;
+    ByteBudget byte_budget;
     boost::random::taus88 chance;
     std::vector<Probe> probes;
-    std::vector<Errand> errands;
+    std::vector<IndirectProbe> indirect_probes;
     std::vector<Outgoing> out;
     std::vector<Change> changed;
-    std::vector<Hearing> cut_news;
+    std::vector<LinkReport> cut_news;
     std::vector<Health> health_news;
-    Passenger* passenger = nullptr;
-    bool passenger_waits = false;  // it has something urgent, and the bytes for it have to be saved up
+    Piggyback* piggyback = nullptr;
+    bool piggyback_waits = false;  // it has something urgent, and the bytes for it have to be saved up
     Figures seen;
     std::uint32_t next_probe = 1;
     std::int64_t last_slot = -1;
--- a/src/peers/message.cpp
+++ b/src/peers/message.cpp
@@ -9,12 +9,12 @@
 constexpr std::uint32_t format = 1;
 constexpr Micros ms = 1000, clocks_apart = 86'400'000 * ms, tenth = 100 * ms, oldest = 600'000 * ms;
 
-std::uint32_t word_of(const Standing& s) {
+std::uint32_t word_of(const MemberState& s) {
     return s.incarnation * 32 + (s.ill ? 16 : 0) + static_cast<std::uint32_t>(s.verdict) * 4 +
            static_cast<std::uint32_t>(s.phase);
 }
 
-bool read_word(std::uint32_t word, Standing& into) {
+bool read_word(std::uint32_t word, MemberState& into) {
     auto phase = word % 4, verdict = word / 4 % 4;
     into.ill = word & 16;
     into.incarnation = word / 32;
@@ -57,8 +57,9 @@
     for (int i = 0; i < w.who_size(); i++) {
         Account one;
         one.who = static_cast<Number>(w.who(i));
-        one.standing.life = wire.life() + static_cast<Life>(w.lives(i));
-        if (w.who(i) >= count || !good_life(one.standing.life) || !read_word(w.words(i), one.standing))
+        one.member_state.life = wire.life() + static_cast<Life>(w.lives(i));
+        if (w.who(i) >= count || !good_life(one.member_state.life) ||
+            !read_word(w.words(i), one.member_state))
             return {{}, Dropped::OutOfRange};
         message.accounts.push_back(one);
     }
@@ -69,14 +70,15 @@
     }
     for (int i = 0; i < w.speakers_size(); i++) {
         if (w.speakers(i) >= count || w.listeners(i) >= count) return {{}, Dropped::OutOfRange};
-        message.hearings.push_back({static_cast<Number>(w.speakers(i)), static_cast<Number>(w.listeners(i)),
-                                    w.said(i) / 2, w.said(i) % 2 == 1});
+        message.link_reports.push_back({static_cast<Number>(w.speakers(i)),
+                                        static_cast<Number>(w.listeners(i)), w.said(i) / 2,
+                                        w.said(i) % 2 == 1});
     }
     if (wire.first() >= count) return {{}, Dropped::OutOfRange};
     message.first = static_cast<Number>(wire.first());
     message.hashes.assign(w.hashes().begin(), w.hashes().end());
     if (message.hashes.size() * block > count + block - 1) return {{}, Dropped::OutOfRange};
-    message.cargo = std::move(*wire.mutable_cargo());
+    message.payload = std::move(*wire.mutable_payload());
     return {std::move(message), Dropped::Last};
 }
 
@@ -94,22 +96,22 @@
     wire.set_direct(message.direct);
     for (auto& one : message.accounts) {
         wire.add_who(static_cast<std::uint32_t>(one.who));
-        wire.add_lives(static_cast<std::int64_t>(one.standing.life - message.self.life));
-        wire.add_words(word_of(one.standing));
+        wire.add_lives(static_cast<std::int64_t>(one.member_state.life - message.self.life));
+        wire.add_words(word_of(one.member_state));
     }
     for (auto& one : message.accusations) {
         wire.add_accused(static_cast<std::uint32_t>(one.accused));
         wire.add_accusers(static_cast<std::uint32_t>(one.accuser));
         wire.add_ages(static_cast<std::uint32_t>(one.age / tenth));
     }
-    for (auto& one : message.hearings) {
+    for (auto& one : message.link_reports) {
         wire.add_speakers(static_cast<std::uint32_t>(one.speaker));
         wire.add_listeners(static_cast<std::uint32_t>(one.listener));
         wire.add_said(one.said * 2 + (one.cut ? 1 : 0));
     }
     wire.set_first(static_cast<std::uint32_t>(message.first));
     for (auto hash : message.hashes) wire.add_hashes(hash);
-    if (!message.cargo.empty()) wire.set_cargo(message.cargo);
+    if (!message.payload.empty()) wire.set_payload(message.payload);
     return wire.SerializeAsString();
 }
 
--- a/src/peers/message.hpp
+++ b/src/peers/message.hpp
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <vector>
 
-#include "peers/standing.hpp"
+#include "peers/member_state.hpp"
 
 namespace quillgrade::peers {
 
@@ -20,7 +20,7 @@
 
 struct Account {
     Number who = 0;
-    Standing standing;
+    MemberState member_state;
     bool operator==(const Account&) const = default;
 };
 struct Accusation {
@@ -29,27 +29,27 @@
     bool operator==(const Accusation&) const = default;
 };
 // What the listener says of a pair: whether it hears the speaker.
-struct Hearing {
+struct LinkReport {
     Number speaker = 0, listener = 0;
     std::uint32_t said = 0;  // grows with each statement of this listener in one life
     bool cut = false;
-    bool operator==(const Hearing&) const = default;
+    bool operator==(const LinkReport&) const = default;
 };
 
 struct Message {
     Number from = 0;
-    Standing self;  // of the sender; its verdict is always alive
-    int zone = -1;  // -1: not told
+    MemberState self;  // of the sender; its verdict is always alive
+    int zone = -1;     // -1: not told
     Kind kind = Kind::News;
     std::uint32_t probe = 0;
     Number about = -1;  // Ask, No: the router probed; Ping, Heard: for whom, -1: for the sender of the ping
     bool direct = false;
     std::vector<Account> accounts;
     std::vector<Accusation> accusations;
-    std::vector<Hearing> hearings;
+    std::vector<LinkReport> link_reports;
     Number first = 0;
     std::vector<std::uint32_t> hashes;
-    std::string cargo;  // of the passenger, not looked into here
+    std::string payload;  // of the piggyback, not looked into here
 };
 
 // Why a datagram was dropped; counted by place.
--- a/src/peers/order.cpp
+++ b/src/peers/probe_schedule.cpp
@@ -1,4 +1,4 @@
-#include "peers/order.hpp"
+#include "peers/probe_schedule.hpp"
 
 #include <boost/random/mersenne_twister.hpp>
 #include <boost/random/uniform_int_distribution.hpp>
@@ -7,7 +7,7 @@
 
 namespace quillgrade::peers {
 
-Number Order::target(std::int64_t slot) {
+Number ProbeSchedule::target(std::int64_t slot) {
     auto others = routers - 1;
     if (slot / others != round) {
         round = slot / others;
--- a/src/peers/hearing.cpp
+++ b/src/peers/reachability.cpp
@@ -1,4 +1,4 @@
-#include "peers/hearing.hpp"
+#include "peers/reachability.hpp"
 
 #include <algorithm>
 
@@ -12,17 +12,17 @@
 
 }  // namespace
 
-Hearings::Fact* Hearings::find(Number speaker, Number listener) {
+Reachability::Fact* Reachability::find(Number speaker, Number listener) {
     auto found = facts.find({speaker, listener});
     return found == facts.end() ? nullptr : &found->second;
 }
 
-void Hearings::say(Number speaker, bool cut, Micros now) {
+void Reachability::say(Number speaker, bool cut, Micros now) {
     if (facts.size() >= most_facts && !find(speaker, self)) return;
     facts[{speaker, self}] = {{speaker, self, ++statements, cut}, 0, now, 0};
 }
 
-bool Hearings::heard(Number speaker, Micros now) {
+bool Reachability::heard(Number speaker, Micros now) {
     ears.erase(speaker);
     auto* fact = find(speaker, self);
     if (!fact || !fact->what.cut) return false;
@@ -30,7 +30,7 @@
     return true;
 }
 
-bool Hearings::missed(Number speaker, Micros now) {
+bool Reachability::missed(Number speaker, Micros now) {
     if (ears.size() >= most_ears && !ears.contains(speaker)) return false;
     auto& ear = ears[speaker];
     if (ear.missed++ == 0) ear.first = now;
@@ -44,7 +44,7 @@
     return true;
 }
 
-bool Hearings::told(const Hearing& fact, Life listener_life, Micros now) {
+bool Reachability::told(const LinkReport& fact, Life listener_life, Micros now) {
     if (fact.listener == self) return false;
     auto* known = find(fact.speaker, fact.listener);
     if (!known && (!fact.cut || facts.size() >= most_facts)) return false;
@@ -55,27 +55,27 @@
     return true;
 }
 
-void Hearings::forget(Number router) {
+void Reachability::forget(Number router) {
     ears.erase(router);
     std::erase_if(facts, [&](auto& one) { return one.first.first == router || one.first.second == router; });
 }
 
-void Hearings::expire(Micros now) {
+void Reachability::expire(Micros now) {
     std::erase_if(facts, [&](auto& one) { return now - one.second.at > lasts; });
 }
 
-bool Hearings::cut(Number speaker, Number listener) const {
+bool Reachability::cut(Number speaker, Number listener) const {
     auto found = facts.find({speaker, listener});
     return found != facts.end() && found->second.what.cut;
 }
 
-std::vector<Hearing> Hearings::to_tell(std::size_t most, int times) {
+std::vector<LinkReport> Reachability::to_tell(std::size_t most, int times) {
     std::vector<Fact*> due;
     for (auto& [pair, fact] : facts)
         if (fact.told < times) due.push_back(&fact);
     std::stable_sort(due.begin(), due.end(), [](auto* a, auto* b) { return a->told < b->told; });
     if (due.size() > most) due.resize(most);
-    std::vector<Hearing> all;
+    std::vector<LinkReport> all;
     for (auto* fact : due) {
         fact->told++;
         all.push_back(fact->what);
@@ -83,14 +83,14 @@
     return all;
 }
 
-std::vector<Hearing> Hearings::cuts() const {
-    std::vector<Hearing> all;
+std::vector<LinkReport> Reachability::cuts() const {
+    std::vector<LinkReport> all;
     for (auto& [pair, fact] : facts)
         if (fact.what.cut) all.push_back(fact.what);
     return all;
 }
 
-bool Hearings::doubtful(Number speaker) const {
+bool Reachability::doubtful(Number speaker) const {
     auto found = ears.find(speaker);
     return found != ears.end() && found->second.missed < misses && !cut(speaker, self);
 }
--- a/src/peers/hearing.hpp
+++ b/src/peers/reachability.hpp
@@ -11,30 +11,30 @@
 
 namespace quillgrade::peers {
 
-class Hearings {
+class Reachability {
 public:
-    explicit Hearings(Number self) : self(self) {}
+    explicit Reachability(Number self) : self(self) {}
 
     // A datagram came from it, past all helpers. True where a cut from it to me ends with this.
     bool heard(Number speaker, Micros now);
     // It has sent me something that did not come. True where this makes it a cut.
     bool missed(Number speaker, Micros now);
     // What another listener says; true where it is news.
-    bool told(const Hearing& fact, Life listener_life, Micros now);
+    bool told(const LinkReport& fact, Life listener_life, Micros now);
     // A router's new life begins: all it said and all said of it is over.
     void forget(Number router);
     void expire(Micros now);  // facts that their listeners have not said again for a minute
 
     bool cut(Number speaker, Number listener) const;
     // Facts to pass on, those told least often first, and counts them as told once more.
-    std::vector<Hearing> to_tell(std::size_t most, int times);
+    std::vector<LinkReport> to_tell(std::size_t most, int times);
     // The pairs that are cut.
-    std::vector<Hearing> cuts() const;
+    std::vector<LinkReport> cuts() const;
     bool doubtful(Number speaker) const;  // misses, but not enough to say so: it is worth asking again
 
 private:
     struct Fact {
-        Hearing what;
+        LinkReport what;
         Life life = 0;
         Micros at = 0;
         int told = 0;
--- a/src/peers/fitness.hpp
+++ b/src/peers/request_health.hpp
@@ -6,11 +6,11 @@
 #include <array>
 #include <cstdint>
 
-#include "peers/standing.hpp"
+#include "peers/member_state.hpp"
 
 namespace quillgrade::peers {
 
-class Fitness {
+class RequestHealth {
 public:
     // Sums since the start. Answers whether it is ill.
     bool told(std::uint64_t ended, std::uint64_t bad, Micros now) {
--- a/src/peers/suspicion.hpp
+++ b/src/peers/suspicion.hpp
@@ -8,7 +8,7 @@
 #include <map>
 #include <vector>
 
-#include "peers/standing.hpp"
+#include "peers/member_state.hpp"
 
 namespace quillgrade::peers {
 
--- a/src/rig/fleet/script.cpp
+++ b/src/rig/fleet/script.cpp
@@ -13,7 +13,7 @@
 #include <set>
 #include <stdexcept>
 
-#include "shared/rights.hpp"
+#include "shared/quotas.hpp"
 
 namespace quillgrade::rig {
 
@@ -37,7 +37,7 @@
                  static_cast<Micros>(script.value("cold_s", 0.0) * 1e6), programs.environment}) {
         out.begun = unix_now();
         if (script.contains("weather")) weather(script.at("weather"));
-        allowance = script.value("peers", json::object()).value("bytes_per_s", 300.0);
+        byte_budget = script.value("peers", json::object()).value("bytes_per_s", 300.0);
     }
 
     static std::string operators_file(const json& script) {
@@ -94,12 +94,12 @@
         // Who holds the cold budget of a server's latest start.
         if (told.is_object() && told.contains("owners_of")) {
             auto id = told.at("owners_of").get<std::uint64_t>();
-            shared::RightTerms terms;
+            shared::QuotaTerms terms;
             terms.routers = fleet.routers();
             if (script.contains("shared") && script.at("shared").contains("rights"))
                 terms.owners = script.at("shared").at("rights").value("owners", terms.owners);
             auto owners =
-                shared::Rights(terms).owners_of(id, static_cast<std::uint64_t>(fleet.started_ms(id)));
+                shared::Quotas(terms).owners_of(id, static_cast<std::uint64_t>(fleet.started_ms(id)));
             all.insert(owners.begin(), owners.end());
         }
         if (told.is_object() && told.contains("zone"))
@@ -478,7 +478,7 @@
         if (out.datagrams.longest > 256)
             fault("a datagram of " + std::to_string(out.datagrams.longest) + " bytes");
         // Two seconds' worth may go at once, and what is over is at most one datagram.
-        if (out.datagrams.most_bytes_per_s > allowance * 1.2 + 256)
+        if (out.datagrams.most_bytes_per_s > byte_budget * 1.2 + 256)
             fault(std::to_string(out.datagrams.most_bytes_per_s) + " bytes a second by one router");
         if (out.false_dead > 0 && !lossy)
             fault(std::to_string(out.false_dead) + " verdicts on routers that ran undisturbed");
@@ -509,7 +509,7 @@
     std::map<int, Micros> killed_at, woke_at;
     std::set<int> crashed, armed, self_stopped;
     Micros whole_since = 1;
-    double allowance = 300;
+    double byte_budget = 300;
     bool asked = false, lossy = false;
 };
 
--- a/src/rig/partner.hpp
+++ b/src/rig/partner.hpp
@@ -1,4 +1,4 @@
-// One router of a simulated fleet with all that it shares: a peers::Circle, a shared::Exchange on it, and
+// One router of a simulated fleet with all that it shares: a peers::Membership, a shared::Exchange on it, and
 // lookups that want cold servers. To be used as the Protocol of rig::Simulated. What it sends is noted for
 // the onlooker, with the true time; it knows only its own clocks.
 #pragma once
@@ -41,7 +41,7 @@
 
 class Partner {
 public:
-    explicit Partner(const peers::Start& start) : circle_(std::make_unique<peers::Circle>(start)) {
+    explicit Partner(const peers::Start& start) : circle_(std::make_unique<peers::Membership>(start)) {
         auto terms = partner_terms().exchange;
         terms.now = {start.now, partner_terms().steady()};
         terms.seed = static_cast<std::uint32_t>(start.seed);
@@ -73,7 +73,7 @@
     std::vector<peers::Change> changes() { return circle_->changes(); }
     const peers::Figures& figures() const { return circle_->figures(); }
 
-    peers::Circle& circle() { return *circle_; }
+    peers::Membership& membership() { return *circle_; }
     shared::Exchange& exchange() { return *exchange_; }
 
     // A lookup that wants `work` of a cold server. Until when, by the steady clock, it may be written; 0:
@@ -94,7 +94,7 @@
     std::vector<feed::PurgeNotice> purges;
 
 private:
-    std::unique_ptr<peers::Circle> circle_;
+    std::unique_ptr<peers::Membership> circle_;
     std::unique_ptr<shared::Exchange> exchange_;
 };
 
--- a/src/rig/simulated.hpp
+++ b/src/rig/simulated.hpp
@@ -1,6 +1,6 @@
 // Many routers' circles in simulated time, in one process: a network that loses, delays, doubles and reorders
 // datagrams and cuts ordered pairs, and routers that are killed, started again, stopped and continued. The
-// same seed gives the same run. `Protocol` is peers::Circle, or a baseline with the same calls.
+// same seed gives the same run. `Protocol` is peers::Membership, or a baseline with the same calls.
 #pragma once
 
 #include <algorithm>
@@ -14,7 +14,7 @@
 #include <string>
 #include <vector>
 
-#include "peers/circle.hpp"
+#include "peers/membership.hpp"
 
 namespace quillgrade::rig {
 
@@ -25,7 +25,7 @@
     double twice = 0;                            // share that comes twice
 };
 
-template <class Protocol = peers::Circle>
+template <class Protocol = peers::Membership>
 class Simulated {
 public:
     using Micros = peers::Micros;
--- a/src/shared/exchange.cpp
+++ b/src/shared/exchange.cpp
@@ -19,25 +19,25 @@
 constexpr Micros clocks_apart = 250 * ms;
 constexpr double spare_datagram = 120;  // bytes, about
 
-RightTerms right_terms(const peers::Circle& circle, const Terms& terms, Number self) {
-    RightTerms made;
+QuotaTerms quota_terms(const peers::Membership& membership, const Terms& terms, Number self) {
+    QuotaTerms made;
     made.self = self;
-    made.routers = circle.routers();
+    made.routers = membership.routers();
     made.owners = terms.owners;
     made.window = terms.site.cold_window;
-    made.loan = terms.loan;
+    made.lease = terms.lease;
     made.seed = terms.seed;
     made.now = terms.now.steady;
     return made;
 }
 
-// Of all that has to be alike for the bound on rights to hold.
-std::uint32_t hash_of(const peers::Circle& circle, const Terms& terms) {
+// Of all that has to be alike for the bound on quotas to hold.
+std::uint32_t hash_of(const peers::Membership& membership, const Terms& terms) {
     auto& site = terms.site;
     double words[] = {1.0,  // of this form
-                      static_cast<double>(circle.routers()),
+                      static_cast<double>(membership.routers()),
                       static_cast<double>(terms.owners),
-                      static_cast<double>(terms.loan),
+                      static_cast<double>(terms.lease),
                       site.cold_from,
                       site.cold_multiple,
                       site.parent_cold_from,
@@ -50,19 +50,19 @@
 
 }  // namespace
 
-Exchange::Exchange(peers::Circle& circle, const Terms& terms)
-    : circle(circle),
+Exchange::Exchange(peers::Membership& membership, const Terms& terms)
+    : membership(membership),
       terms(terms),
-      hash(hash_of(circle, terms)),
-      facts(terms.site.purge_done, circle.routers()),
-      rights(right_terms(circle, terms, circle.number_of_self())),
-      tally(circle.number_of_self(), circle.routers()),
-      unlike(static_cast<std::size_t>(circle.routers())),
+      hash(hash_of(membership, terms)),
+      facts(terms.site.purge_done, membership.routers()),
+      quotas(quota_terms(membership, terms, membership.number_of_self())),
+      request_counts(membership.number_of_self(), membership.routers()),
+      unlike(static_cast<std::size_t>(membership.routers())),
       last(terms.now) {
-    circle.carry(this);
+    membership.carry(this);
 }
 
-Exchange::~Exchange() { circle.carry(nullptr); }
+Exchange::~Exchange() { membership.carry(nullptr); }
 
 // ---- what comes
 
@@ -74,12 +74,12 @@
         seen.malformed++;
 }
 
-void Exchange::take(Number from, Life life, const Load& load, const Times& now) {
+void Exchange::take(Number from, Life life, const Payload& load, const Times& now) {
     if (terms.parts.facts) {
         for (auto& fact : load.facts) seen.facts_heard += facts.hear(fact, now.unix);
         if (load.digest != facts.digest(now.unix)) unlike[static_cast<std::size_t>(from)] = true;
     }
-    if (terms.parts.rights) {
+    if (terms.parts.quotas) {
         // Guards against two sizes of the whole: who goes by other amounts is neither lent to nor borrowed
         // from.
         bool alike = load.terms == hash;
@@ -88,27 +88,27 @@
             differed_at = now.steady;
         }
         if (alike)
-            for (auto& ask : load.asks) rights.asked(from, life, ask, now.steady);
+            for (auto& ask : load.asks) quotas.asked(from, life, ask, now.steady);
         if (alike)
-            for (auto& grant : load.grants) rights.granted(from, grant, now.steady);
+            for (auto& grant : load.grants) quotas.granted(from, grant, now.steady);
     }
     if (terms.parts.judgements && !load.complaints.empty()) {
-        auto view = circle.view(from, now.unix);
-        double standing = view.state == peers::State::Alive && !view.ill ? 1 : 0.25;
+        auto view = membership.view(from, now.unix);
+        double trust = view.state == peers::State::Alive && !view.ill ? 1 : 0.25;
         for (auto& one : load.complaints) {
-            opinions.hear(from, view.zone, standing, load.breadth, one, now.unix);
+            health_reports.hear(from, view.zone, trust, load.breadth, one, now.unix);
             seen.complaints_heard++;
         }
     }
     if (terms.parts.counts)
-        for (auto& one : load.counts) seen.counts_heard += tally.hear(one, now.unix);
+        for (auto& one : load.counts) seen.counts_heard += request_counts.hear(one, now.unix);
 }
 
 // ---- what this router's own sources say
 
 feed::Listing Exchange::listed(feed::Listing told, const Times& now) {
     last = now;
-    if (terms.parts.rights && terms.site.ratings_are_links) {
+    if (terms.parts.quotas && terms.site.ratings_are_links) {
         // Parents only: all routers share them, so one's part is small. A location's caches have few routers,
         // whose parts are a lookup or more, and what they see answered raises them: pooled they were used
         // less (docs/results.md).
@@ -144,17 +144,17 @@
                             whole_cold_budget(terms.site, true, entry.rating, grown)});
             return false;
         });
-        rights.list(told, now.steady);
+        quotas.list(told, now.steady);
         auto there = [&](Number who) {
-            auto state = circle.state(who);
+            auto state = membership.state(who);
             return state == peers::State::Alive || state == peers::State::Suspected;
         };
-        for (auto& [to, grant] : rights.grants(now.steady)) {
+        for (auto& [to, grant] : quotas.grants(now.steady)) {
             auto& post = out[to];
             if (post.grants.size() < most_posted) post.grants.push_back(grant);
             post.at = now.steady;
         }
-        for (auto& [to, ask] : rights.asks(there, now.steady)) {
+        for (auto& [to, ask] : quotas.asks(there, now.steady)) {
             auto& post = out[to];
             if (post.asks.size() < most_posted) post.asks.push_back(ask);
             post.at = now.steady;
@@ -163,19 +163,19 @@
     // Each that is written to has its datagram at once while there are bytes; else it rides on the next one.
     for (auto post = out.begin(); post != out.end();) {
         bool empty = post->second.asks.empty() && post->second.grants.empty();
-        if (!empty) circle.tell(post->first, true, now.unix);
+        if (!empty) membership.tell(post->first, true, now.unix);
         empty = post->second.asks.empty() && post->second.grants.empty();
         bool old = now.steady - post->second.at >= posted_for;
         post = empty || old ? out.erase(post) : std::next(post);
     }
     tell_facts(now);
-    if (terms.parts.counts && now.unix >= spare_at && circle.spare(now.unix) > spare_datagram &&
-        tally.news()) {
-        circle.tell(1, circle.own_zone(), false, now.unix);
+    if (terms.parts.counts && now.unix >= spare_at && membership.spare(now.unix) > spare_datagram &&
+        request_counts.news()) {
+        membership.tell(1, membership.own_zone(), false, now.unix);
         spare_at = now.unix + spare_every;
     }
     if (now.unix >= expire_at) {
-        opinions.expire(now.unix);
+        health_reports.expire(now.unix);
         expire_at = now.unix + second / 2;
     }
     return terms.parts.facts ? facts.pass(live, now.unix) : Facts::Changes{};
@@ -186,7 +186,7 @@
 void Exchange::tell_facts(const Times& now) {
     if (!terms.parts.facts || facts.size() == 0) return;
     if (facts.news()) {
-        circle.tell(3, -1, true, now.unix);
+        membership.tell(3, -1, true, now.unix);
         return;
     }
     // Guards against a router that is never told, as those who know use up their bytes on somebody who is cut
@@ -195,13 +195,13 @@
     auto behind = std::find(unlike.begin(), unlike.end(), true);
     if (behind == unlike.end()) return;
     auto who = static_cast<Number>(behind - unlike.begin());
-    if (circle.state(who) != peers::State::Alive)
+    if (membership.state(who) != peers::State::Alive)
         *behind = false;  // a datagram of its own says so anew
-    else if (circle.insist(who, now.unix))
+    else if (membership.insist(who, now.unix))
         mend_at = now.unix + mend_every;
 }
 
-// ---- rights
+// ---- quotas
 
 std::vector<CacheId> Exchange::young() const {
     std::vector<CacheId> all;
@@ -210,16 +210,16 @@
 }
 
 double Exchange::right(CacheId server, const Times& now) {
-    return cold.contains(server) ? rights.available(server, now.steady) : -1;
+    return cold.contains(server) ? quotas.available(server, now.steady) : -1;
 }
 Micros Exchange::use(CacheId server, double work, Micros tag, const Times& now) {
-    return rights.use(server, work, tag, now.steady);
+    return quotas.use(server, work, tag, now.steady);
 }
 void Exchange::give_back(CacheId server, double work, Micros tag, const Times& now) {
-    rights.give_back(server, work, tag, now.steady);
+    quotas.give_back(server, work, tag, now.steady);
 }
 void Exchange::missed(CacheId server, double work, double usual, const Times& now) {
-    rights.missed(server, work, usual, now.steady);
+    quotas.missed(server, work, usual, now.steady);
 }
 bool Exchange::others_differ(const Times& now) const {
     return differed_at > 0 && now.steady - differed_at < differed_for;
@@ -239,25 +239,25 @@
             {one.server, static_cast<std::uint32_t>(one.started / ms), one.samples, one.bad, one.slow, 0});
     breadth = {measured, static_cast<int>(told.size())};
     complaints_at = now.unix;
-    if (news) circle.tell(3, circle.own_zone(), true, now.unix);
+    if (news) membership.tell(3, membership.own_zone(), true, now.unix);
 }
 
 Hearsay Exchange::hearsay(CacheId server, Micros started, const Times& now) const {
-    return opinions.weigh(server, static_cast<std::uint64_t>(started / ms), now.unix);
+    return health_reports.weigh(server, static_cast<std::uint64_t>(started / ms), now.unix);
 }
 
 // ---- counts
 
 int Exchange::asked(ObjectId object, const Times& now) {
-    return terms.parts.counts ? tally.asked(object, now.unix) : 0;
+    return terms.parts.counts ? request_counts.asked(object, now.unix) : 0;
 }
 
 int Exchange::heard_routers() const {
     if (!terms.parts.counts) return 1;
     int count = 1;
-    for (Number who = 0; who < circle.routers(); who++)
-        if (who != circle.number_of_self() && circle.state(who) == peers::State::Alive &&
-            circle.zone_of(who) == circle.own_zone())
+    for (Number who = 0; who < membership.routers(); who++)
+        if (who != membership.number_of_self() && membership.state(who) == peers::State::Alive &&
+            membership.zone_of(who) == membership.own_zone())
             count++;
     return count;
 }
@@ -265,8 +265,8 @@
 // ---- what rides along
 
 std::string Exchange::load(Number to, std::size_t room, Micros now) {
-    Load load;
-    load.terms = terms.parts.rights ? hash : 0;
+    Payload load;
+    load.terms = terms.parts.quotas ? hash : 0;
     load.digest = terms.parts.facts ? facts.digest(now) : 0;
     auto post = out.find(to);
     if (post != out.end()) {
@@ -281,7 +281,7 @@
         if (unlike[place])
             for (auto& fact : facts.in_turn(facts_a_datagram - news, now)) load.facts.push_back(fact);
     }
-    bool neighbour = circle.zone_of(to) == circle.own_zone();
+    bool neighbour = membership.zone_of(to) == membership.own_zone();
     if (terms.parts.judgements && now - complaints_at < fresh_complaint)
         for (std::size_t i = 0; i < std::min(complaints.size(), complaints_a_datagram); i++) {
             auto one = complaints[(complaint_turn + i) % complaints.size()];
@@ -290,18 +290,18 @@
         }
     complaint_turn += load.complaints.size();
     load.breadth = breadth;
-    if (terms.parts.counts && neighbour) load.counts = tally.next(counts_a_datagram, now);
+    if (terms.parts.counts && neighbour) load.counts = request_counts.next(counts_a_datagram, now);
     auto fitted = encode(load, room, now);
     for (auto i = fitted.facts; i < news; i++) facts.untold(load.facts[i]);
     if (fitted.facts == load.facts.size()) unlike[place] = false;
-    for (auto i = fitted.counts; i < load.counts.size(); i++) tally.untold(load.counts[i].name);
+    for (auto i = fitted.counts; i < load.counts.size(); i++) request_counts.untold(load.counts[i].name);
     if (post != out.end()) {
         auto& asks = post->second.asks;
         auto& grants = post->second.grants;
         asks.erase(asks.begin(), asks.begin() + static_cast<std::ptrdiff_t>(fitted.asks));
         grants.erase(grants.begin(), grants.begin() + static_cast<std::ptrdiff_t>(fitted.grants));
     }
-    seen.cargo_bytes += fitted.bytes.size();
+    seen.payload_bytes += fitted.bytes.size();
     return fitted.bytes;
 }
 
--- a/src/shared/exchange.hpp
+++ b/src/shared/exchange.hpp
@@ -1,19 +1,20 @@
-// What the routers of a tier share, as one party of it: facts, rights, opinions, counts. It rides on the
-// datagrams of a peers::Circle, is told the time, and gives back values. No clock, socket or thread.
+// What the routers of a tier share, as one party of it: facts, quotas, health_reports, counts. It rides on
+// the datagrams of a peers::Membership, is told the time, and gives back values. No clock, socket or thread.
 //
-//     Exchange exchange(circle, terms);
-//     exchange.at(times);                                // before the circle hears what came
+//     Exchange exchange(membership, terms);
+//     exchange.at(times);                                // before the membership hears what came
 //     listing = exchange.listed(listing, times);         // the own coordinator's lists and purges, before
 //     the module auto changes = exchange.pass(live_since, times);   // what else the module has to be told
 //     server.right = exchange.right(id, times);          // at the start of a turn, for all of young()
 //     auto until = exchange.use(id, work, now, times);   // at its end, for what was decided to be sent
 //
 // What it promises:
-//   - Alone, a router decides as without it, but for cold budgets, see rights.hpp. What is heard closes
+//   - Alone, a router decides as without it, but for cold budgets, see quotas.hpp. What is heard closes
 //   servers,
 //     bounds ages, speaks where own samples are too few, and raises counts by what others were truly asked.
-//   - The bounds of facts.hpp, rights.hpp, opinions.hpp and tally.hpp, all in memory set by their `most`.
-//   - It sends nothing by itself but through the circle, so within the circle's bytes a second.
+//   - The bounds of facts.hpp, quotas.hpp, health_reports.hpp and request_counts.hpp, all in memory set by
+//   their `most`.
+//   - It sends nothing by itself but through the membership, so within the circle's bytes a second.
 #pragma once
 
 #include <deque>
@@ -21,18 +22,18 @@
 #include <string>
 #include <vector>
 
-#include "peers/circle.hpp"
-#include "shared/cargo.hpp"
+#include "peers/membership.hpp"
+#include "shared/payload.hpp"
 
 namespace quillgrade::shared {
 
 struct Times {
     Micros unix = 0;    // for what is compared between machines: purges, starts, epochs
-    Micros steady = 0;  // for the lengths of loans
+    Micros steady = 0;  // for the lengths of leases
 };
 
 struct Parts {
-    bool facts = true, rights = true, judgements = true, counts = true;
+    bool facts = true, quotas = true, judgements = true, counts = true;
     bool operator==(const Parts&) const = default;
 };
 
@@ -40,15 +41,15 @@
     Parts parts{};
     Bounds site{};  // of the settings
     int owners = 4;
-    Micros loan = 3'000'000;
+    Micros lease = 3'000'000;
     std::uint32_t seed = 1;
     Times now{};
 };
 
-class Exchange : public peers::Passenger {
+class Exchange : public peers::Piggyback {
 public:
-    // `circle` outlives this; it carries it from now on.
-    Exchange(peers::Circle& circle, const Terms& terms);
+    // `membership` outlives this; it carries it from now on.
+    Exchange(peers::Membership& membership, const Terms& terms);
     ~Exchange() override;
     Exchange(const Exchange&) = delete;
     Exchange& operator=(const Exchange&) = delete;
@@ -68,7 +69,7 @@
     // What this router holds against servers, as it stands now.
     void witnessed(const std::vector<Testimony>& told, int measured, const Times& now);
     Hearsay hearsay(CacheId server, Micros started, const Times& now) const;
-    std::vector<CacheId> named() const { return opinions.named(); }
+    std::vector<CacheId> named() const { return health_reports.named(); }
 
     // A first part is asked for: how many other routers of the location were asked for it too.
     int asked(ObjectId object, const Times& now);
@@ -79,13 +80,13 @@
 
     struct Figures {
         std::uint64_t malformed = 0, other_terms = 0, facts_heard = 0, counts_heard = 0, complaints_heard = 0,
-                      cargo_bytes = 0;
+                      payload_bytes = 0;
     };
     const Figures& figures() const { return seen; }
-    const Rights::Figures& rights_figures() const { return rights.figures(); }
-    Rights::Shares shares(CacheId server, const Times& now) { return rights.shares(server, now.steady); }
+    const Quotas::Figures& quota_figures() const { return quotas.figures(); }
+    Quotas::Shares shares(CacheId server, const Times& now) { return quotas.shares(server, now.steady); }
     const Facts& known() const { return facts; }
-    const Tally& counted() const { return tally; }
+    const RequestCounts& counted() const { return request_counts; }
     bool others_differ(const Times& now) const;  // routers whose amounts are not the same were heard lately
 
 private:
@@ -94,17 +95,17 @@
         std::vector<Grant> grants;
         Micros at = 0;
     };
-    void take(Number from, Life life, const Load& load, const Times& now);
+    void take(Number from, Life life, const Payload& load, const Times& now);
     void tell_facts(const Times& now);
     bool is_parent(const ListEntry& entry) const { return entry.kind == terms.site.parent_kind; }
 
-    peers::Circle& circle;
+    peers::Membership& membership;
     Terms terms;
     std::uint32_t hash;
     Facts facts;
-    Rights rights;
-    Opinions opinions;
-    Tally tally;
+    Quotas quotas;
+    HealthReports health_reports;
+    RequestCounts request_counts;
     std::map<CacheId, ListEntry> cold;
     std::map<CacheId, int> zones;  // of the servers complained of
     std::vector<Complaint> complaints;
--- a/src/shared/facts.hpp
+++ b/src/shared/facts.hpp
@@ -27,7 +27,7 @@
 
 #include "control.hpp"
 #include "feed/event.hpp"
-#include "peers/standing.hpp"
+#include "peers/member_state.hpp"
 
 namespace quillgrade::shared {
 
--- a/src/shared/opinions.cpp
+++ b/src/shared/health_reports.cpp
@@ -1,4 +1,4 @@
-#include "shared/opinions.hpp"
+#include "shared/health_reports.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -13,8 +13,8 @@
 
 }  // namespace
 
-void Opinions::hear(Number witness, int zone, double standing, const Breadth& breadth,
-                    const Complaint& complaint, Micros now) {
+void HealthReports::hear(Number witness, int zone, double trust, const Breadth& breadth,
+                         const Complaint& complaint, Micros now) {
     if (complaint.age >= life || !(complaint.samples > 0)) return;
     auto of = held.find(complaint.server);
     bool known = of != held.end() && of->second.contains(witness);
@@ -25,10 +25,10 @@
     if (!known) count++;
     bool doubted = breadth.measured >= enough_measured && breadth.complains * 2 > breadth.measured;
     held[complaint.server].insert_or_assign(witness,
-                                            Held{complaint, now - complaint.age, zone, standing, doubted});
+                                            Held{complaint, now - complaint.age, zone, trust, doubted});
 }
 
-Hearsay Opinions::weigh(CacheId server, std::uint64_t start, Micros now) const {
+Hearsay HealthReports::weigh(CacheId server, std::uint64_t start, Micros now) const {
     auto of = held.find(server);
     if (of == held.end()) return {};
     std::vector<const Held*> believed, doubted;
@@ -48,7 +48,7 @@
     double slow_weight = 0;
     for (auto* one : believed) {
         auto [zone, fresh] = next.try_emplace(one->zone, 1.0);
-        auto weight = zone->second * one->standing *
+        auto weight = zone->second * one->trust *
                       std::exp2(-static_cast<double>(now - one->at) / static_cast<double>(half_life));
         zone->second = std::max(least_weight, zone->second / 2);
         auto samples = std::min(one->what.samples, most_samples) * weight;
@@ -71,19 +71,19 @@
     return sum;
 }
 
-std::vector<CacheId> Opinions::named() const {
+std::vector<CacheId> HealthReports::named() const {
     std::vector<CacheId> all;
     for (auto& [server, by] : held) all.push_back(server);
     return all;
 }
 
-void Opinions::expire(Micros now) {
+void HealthReports::expire(Micros now) {
     for (auto of = held.begin(); of != held.end();) {
         count -= std::erase_if(of->second, [&](auto& one) { return now - one.second.at >= life; });
         of = of->second.empty() ? held.erase(of) : std::next(of);
     }
 }
 
-std::size_t Opinions::size() const { return count; }
+std::size_t HealthReports::size() const { return count; }
 
 }  // namespace quillgrade::shared
--- a/src/shared/opinions.hpp
+++ b/src/shared/health_reports.hpp
@@ -6,7 +6,7 @@
 // `most_samples` at most), the share of failures, and how many times as slow as the peers the server is. They
 // weigh
 //   - by age: half after `half_life`, nothing after `life`;
-//   - by the witness's own standing: a quarter where it is accused, ill, or leaving;
+//   - by the witness's own trust: a quarter where it is accused, ill, or leaving;
 //   - by its neighbours: the first witness of a zone counts whole, each further one half as much as the one
 //   before,
 //     down to a quarter, since what cuts off one cuts off its neighbours;
@@ -22,7 +22,7 @@
 #include <vector>
 
 #include "control.hpp"
-#include "peers/standing.hpp"
+#include "peers/member_state.hpp"
 
 namespace quillgrade::shared {
 
@@ -42,13 +42,13 @@
     int measured = 0, complains = 0;
 };
 
-class Opinions {
+class HealthReports {
 public:
     static constexpr Micros life = 5'000'000, half_life = 2'500'000;
     static constexpr double most_samples = 4;
     static constexpr std::size_t most = 1024;  // complaints kept
 
-    void hear(Number witness, int zone, double standing, const Breadth& breadth, const Complaint& complaint,
+    void hear(Number witness, int zone, double trust, const Breadth& breadth, const Complaint& complaint,
               Micros now);
     // `start`: in the list that this router has.
     Hearsay weigh(CacheId server, std::uint64_t start, Micros now) const;
@@ -63,7 +63,7 @@
         Complaint what;
         Micros at;  // of the newest sample, by this router's clock
         int zone;
-        double standing;
+        double trust;
         bool doubted;
     };
     std::map<CacheId, std::map<Number, Held>> held;
--- a/src/shared/cargo.cpp
+++ b/src/shared/payload.cpp
@@ -1,9 +1,9 @@
-#include "shared/cargo.hpp"
+#include "shared/payload.hpp"
 
 #include <algorithm>
 #include <cmath>
 
-#include "cargo.pb.h"
+#include "payload.pb.h"
 
 namespace quillgrade::shared {
 
@@ -19,13 +19,13 @@
 
 }  // namespace
 
-std::optional<Load> decode(std::string_view bytes, Micros unix_now) {
-    wire::Cargo wire;
+std::optional<Payload> decode(std::string_view bytes, Micros unix_now) {
+    wire::Payload wire;
     if (!wire.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) return {};
     if (wire.facts_size() > most_items || wire.asks_size() > most_items || wire.grants_size() > most_items ||
         wire.complaints_size() > most_items || wire.counts_size() > most_items || wire.now() > most_time)
         return {};
-    Load load;
+    Payload load;
     load.terms = wire.terms();
     load.digest = wire.digest();
     auto now = static_cast<std::int64_t>(wire.now());
@@ -64,9 +64,9 @@
     return load;
 }
 
-Fitted encode(const Load& load, std::size_t room, Micros unix_now) {
+Fitted encode(const Payload& load, std::size_t room, Micros unix_now) {
     Fitted fitted;
-    wire::Cargo wire;
+    wire::Payload wire;
     wire.set_terms(load.terms);
     wire.set_digest(load.digest);
     if (wire.ByteSizeLong() > room) return fitted;
--- a/src/shared/cargo.hpp
+++ b/src/shared/payload.hpp
@@ -8,13 +8,13 @@
 #include <vector>
 
 #include "shared/facts.hpp"
-#include "shared/opinions.hpp"
-#include "shared/rights.hpp"
-#include "shared/tally.hpp"
+#include "shared/health_reports.hpp"
+#include "shared/quotas.hpp"
+#include "shared/request_counts.hpp"
 
 namespace quillgrade::shared {
 
-struct Load {
+struct Payload {
     std::uint32_t terms = 0, digest = 0;
     std::vector<Fact> facts;
     std::vector<Ask> asks;
@@ -26,7 +26,7 @@
 
 // Empty where it is malformed or a number is out of range; then all of it is dropped. `now`: Unix
 // microseconds.
-std::optional<Load> decode(std::string_view bytes, Micros now);
+std::optional<Payload> decode(std::string_view bytes, Micros now);
 
 // Writes what fits into `room` bytes, in this order: terms and digest, grants, asks, facts, complaints,
 // counts. Each kind in its own order; `fitted` tells how many of each.
@@ -34,6 +34,6 @@
     std::string bytes;
     std::size_t facts = 0, asks = 0, grants = 0, complaints = 0, counts = 0;
 };
-Fitted encode(const Load& load, std::size_t room, Micros now);
+Fitted encode(const Payload& load, std::size_t room, Micros now);
 
 }  // namespace quillgrade::shared
--- a/src/shared/rights.cpp
+++ b/src/shared/quotas.cpp
@@ -1,4 +1,4 @@
-#include "shared/rights.hpp"
+#include "shared/quotas.hpp"
 
 #include <xxhash.h>
 
@@ -14,15 +14,15 @@
 // Of what was missed: where lookups come by chance, what is held is used up only if more is looked for than
 // that, and where there is enough the rest is asked for next time.
 constexpr double share_asked_for = 0.4;
-constexpr double most_of_part = 0.5;  // what one loan may take of an owner's part, if more than one lookup
+constexpr double most_of_part = 0.5;  // what one lease may take of an owner's part, if more than one lookup
 
 }  // namespace
 
-Rights::Rights(const RightTerms& terms) : terms(terms), number(terms.seed * 2654435761u) {}
+Quotas::Quotas(const QuotaTerms& terms) : terms(terms), number(terms.seed * 2654435761u) {}
 
 // Drawn by hash, so that servers of one kind that start together have different ones; where there are as many
 // owners as routers each always has its own part.
-std::vector<Number> Rights::owners_of(CacheId server, std::uint64_t start) const {
+std::vector<Number> Quotas::owners_of(CacheId server, std::uint64_t start) const {
     auto count = std::min(terms.owners, terms.routers);
     std::vector<Number> drawn;
     for (int i = 0; i < count; i++) {
@@ -35,7 +35,7 @@
     return drawn;
 }
 
-void Rights::list(const std::vector<ColdServer>& cold, Micros now) {
+void Quotas::list(const std::vector<ColdServer>& cold, Micros now) {
     for (auto& told : cold) {
         auto found = servers.find(told.id);
         if (found == servers.end() && servers.size() >= most_servers) continue;
@@ -49,7 +49,7 @@
                 server.pots.push_back({terms.self});
             }
         }
-        // A part that fell would leave loans over it: it only grows.
+        // A part that fell would leave leases over it: it only grows.
         server.whole = std::max(server.whole, told.whole);
         server.listed = now;
     }
@@ -58,25 +58,25 @@
 
 // ---- what may be used
 
-double Rights::part(const Server& server) const {
+double Quotas::part(const Server& server) const {
     return server.parts * server.whole / static_cast<double>(server.owners.size());
 }
 
-double Rights::used(Pot& pot, Micros now) const {
+double Quotas::used(Pot& pot, Micros now) const {
     std::erase_if(pot.uses, [&](auto& use) { return now - use.at >= counted(); });
     double sum = 0;
     for (auto& use : pot.uses) sum += use.work;
     return sum;
 }
 
-double Rights::blocked(Server& server, Micros now) const {
+double Quotas::blocked(Server& server, Micros now) const {
     std::erase_if(server.lent, [&](auto& lent) { return now >= lent.until; });
     double sum = 0;
     for (auto& lent : server.lent) sum += lent.amount;
     return sum;
 }
 
-double Rights::left(Server& server, Pot& pot, Micros now) const {
+double Quotas::left(Server& server, Pot& pot, Micros now) const {
     if (pot.owner != terms.self) {
         if (now + margin >= pot.until) return 0;
         return pot.amount - used(pot, now);
@@ -85,7 +85,7 @@
     return part(server) - used(pot, now) - blocked(server, now);
 }
 
-double Rights::available(CacheId id, Micros now) {
+double Quotas::available(CacheId id, Micros now) {
     auto found = servers.find(id);
     if (found == servers.end()) return 0;
     auto& server = found->second;
@@ -95,7 +95,7 @@
     return sum;
 }
 
-Micros Rights::use(CacheId id, double work, Micros tag, Micros now) {
+Micros Quotas::use(CacheId id, double work, Micros tag, Micros now) {
     auto found = servers.find(id);
     if (found == servers.end() || work <= 0) return now + good_for;
     auto& server = found->second;
@@ -114,7 +114,7 @@
     return until;
 }
 
-void Rights::give_back(CacheId id, double work, Micros tag, Micros) {
+void Quotas::give_back(CacheId id, double work, Micros tag, Micros) {
     auto found = servers.find(id);
     if (found == servers.end()) return;
     for (auto& pot : found->second.pots)
@@ -126,7 +126,7 @@
         }
 }
 
-Rights::Shares Rights::shares(CacheId id, Micros now) {
+Quotas::Shares Quotas::shares(CacheId id, Micros now) {
     Shares shares;
     auto found = servers.find(id);
     if (found == servers.end()) return shares;
@@ -147,7 +147,7 @@
     return shares;
 }
 
-void Rights::fingerprint(std::vector<std::int64_t>& into, Micros now,
+void Quotas::fingerprint(std::vector<std::int64_t>& into, Micros now,
                          const std::function<std::int64_t(std::uint32_t)>& renumber) const {
     auto length = [&](Micros time) { into.push_back(time - now); };
     auto amount = [&](double value) { into.push_back(static_cast<std::int64_t>(value)); };
@@ -159,7 +159,7 @@
         for (auto& pot : server.pots) {
             bool own = pot.owner == terms.self, runs = own || now < pot.until;
             if (!runs && now >= pot.until + counted()) continue;
-            into.insert(into.end(), {-1, pot.owner, own ? 0 : renumber(pot.loan)});
+            into.insert(into.end(), {-1, pot.owner, own ? 0 : renumber(pot.lease)});
             amount(pot.amount);
             if (!own) length(pot.until);
             for (auto& use : pot.uses)
@@ -171,7 +171,7 @@
         for (auto& lent : server.lent)
             if (now < lent.until) {
                 into.insert(into.end(),
-                            {-2, lent.to, static_cast<std::int64_t>(lent.life), renumber(lent.loan)});
+                            {-2, lent.to, static_cast<std::int64_t>(lent.life), renumber(lent.lease)});
                 amount(lent.amount);
                 length(lent.until);
             }
@@ -192,7 +192,7 @@
         into.push_back(-4);
         amount(std::min(wished, 2 * server.usual));
         into.push_back(wished > 0 ? last - now : 0);
-        bool open = server.open.owner >= 0 && now < server.open.asked + std::max(terms.loan, server.wait);
+        bool open = server.open.owner >= 0 && now < server.open.asked + std::max(terms.lease, server.wait);
         into.insert(into.end(), {open ? server.open.owner : -1, open ? renumber(server.open.number) : 0,
                                  open ? server.open.asked - now : 0, server.wait,
                                  server.owners.size() > 1 ? static_cast<std::int64_t>(server.turn) : 0});
@@ -201,7 +201,7 @@
 
 // ---- the borrower's side
 
-void Rights::missed(CacheId id, double work, double usual, Micros now) {
+void Quotas::missed(CacheId id, double work, double usual, Micros now) {
     auto found = servers.find(id);
     if (found == servers.end() || work <= 0) return;
     auto& server = found->second;
@@ -212,16 +212,16 @@
         server.wishes.emplace_back(now, work);
 }
 
-double Rights::wish(Server& server, Micros now) const {
+double Quotas::wish(Server& server, Micros now) const {
     std::erase_if(server.wishes, [&](auto& one) { return now - one.first >= terms.window; });
     double sum = 0;
     for (auto& one : server.wishes) sum += one.second;
     return sum;
 }
 
-// Whether to ask now, and whom: where lookups of the last window found no right. A loan that was used for
+// Whether to ask now, and whom: where lookups of the last window found no right. A lease that was used for
 // more than half is renewed in the last third of its time.
-void Rights::plan(CacheId, Server& server, Micros now) {
+void Quotas::plan(CacheId, Server& server, Micros now) {
     server.due = false;
     server.renewing = -1;
     std::erase_if(server.pots,
@@ -230,7 +230,7 @@
     if (wished <= 0 || server.usual <= 0) return;
     if (server.open.owner >= 0 && now < server.open.asked + server.wait) return;
     for (auto& pot : server.pots)
-        if (pot.owner != terms.self && now < pot.until - margin && now >= pot.until - terms.loan / 3 &&
+        if (pot.owner != terms.self && now < pot.until - margin && now >= pot.until - terms.lease / 3 &&
             used(pot, now) * 2 >= pot.amount) {
             server.renewing = pot.owner;
             server.due = true;
@@ -239,15 +239,15 @@
     server.due = wished >= server.usual;
 }
 
-// A loan of that owner that runs goes on, for more if more is wanted.
-Ask Rights::sent(CacheId id, Server& server, Number owner, Micros now) {
+// A lease of that owner that runs goes on, for more if more is wanted.
+Ask Quotas::sent(CacheId id, Server& server, Number owner, Micros now) {
     if (++number == 0) number = 1;
     Ask ask{id, static_cast<std::uint32_t>(server.start), number, 0, server.usual, 0};
     auto more = std::max(server.usual, wish(server, now) * share_asked_for);
     ask.amount = more;
     for (auto& pot : server.pots)
         if (pot.owner == owner && now < pot.until - margin) {
-            ask.renews = pot.loan;
+            ask.renews = pot.lease;
             ask.amount = pot.amount + more;
         }
     server.wait =
@@ -257,7 +257,7 @@
     return ask;
 }
 
-void Rights::granted(Number from, const Grant& grant, Micros now) {
+void Quotas::granted(Number from, const Grant& grant, Micros now) {
     auto found = servers.find(grant.server);
     if (found == servers.end()) return;
     auto& server = found->second;
@@ -278,25 +278,25 @@
     }
     auto asked = ours ? open.asked : now;
     open.owner = -1;
-    if (now + margin >= asked + terms.loan) return;
+    if (now + margin >= asked + terms.lease) return;
     seen.borrowed++;
-    auto loan = ours && open.renews ? open.renews : grant.number;
+    auto lease = ours && open.renews ? open.renews : grant.number;
     auto pot = std::find_if(server.pots.begin(), server.pots.end(),
-                            [&](auto& one) { return one.owner == from && one.loan == loan; });
+                            [&](auto& one) { return one.owner == from && one.lease == lease; });
     if (pot == server.pots.end()) {
         if (server.pots.size() >= most_pots) return;
-        server.pots.push_back({from, loan, amount, asked + terms.loan});
+        server.pots.push_back({from, lease, amount, asked + terms.lease});
         return;
     }
     // Renewed: the owner blocks it on, and blocked what it was raised by before it said so. Without that
     // guard what comes twice adds up.
     pot->amount = std::max(pot->amount, amount);
-    pot->until = std::max(pot->until, asked + terms.loan);
+    pot->until = std::max(pot->until, asked + terms.lease);
 }
 
 // ---- the owner's side
 
-void Rights::asked(Number from, Life life, const Ask& ask, Micros now) {
+void Quotas::asked(Number from, Life life, const Ask& ask, Micros now) {
     auto found = servers.find(ask.server);
     if (found == servers.end() || from == terms.self) return;
     auto& server = found->second;
@@ -314,7 +314,7 @@
 }
 
 // Renewals first, as they want nothing that is free; then who has waited longest.
-std::vector<Posted<Grant>> Rights::grants(Micros now) {
+std::vector<Posted<Grant>> Quotas::grants(Micros now) {
     std::vector<Posted<Grant>> out;
     if (now < terms.now + new_life_waits()) return out;
     for (auto& [id, server] : servers) {
@@ -329,12 +329,12 @@
     return out;
 }
 
-std::optional<Grant> Rights::grant(Server& server, const Waiting& to, Micros now) {
+std::optional<Grant> Quotas::grant(Server& server, const Waiting& to, Micros now) {
     auto& ask = to.ask;
-    auto end = now + terms.loan + counted() + margin;
+    auto end = now + terms.lease + counted() + margin;
     auto free = std::max(0.0, left(server, server.pots.front(), now));  // forgets what is over
     auto running = std::find_if(server.lent.begin(), server.lent.end(), [&](auto& one) {
-        return one.to == to.from && one.life == to.life && one.loan == ask.renews;
+        return one.to == to.from && one.life == to.life && one.lease == ask.renews;
     });
     // In whole lookups, so that nothing is blocked that nobody can use.
     auto most = std::max(ask.least, most_of_part * part(server));
@@ -349,7 +349,7 @@
     }
     std::size_t all = 0;
     for (auto& [id, one] : servers) all += one.lent.size();
-    if (all >= most_loans) return {};
+    if (all >= most_leases) return {};
     auto amount = whole(std::min({ask.amount, most, free}));
     if (amount < ask.least * 0.999) return {};
     server.lent.push_back({to.from, to.life, ask.number, amount, end});
--- a/src/shared/rights.hpp
+++ b/src/shared/quotas.hpp
@@ -8,22 +8,22 @@
 //
 //   borrower                        owner
 //   ask(number)   ------------->    has it free: blocks it until end + window, first
-//   until T + loan  <-----------    grant(number)         T: when the borrower *asked*, by its own clock
+//   until T + lease  <-----------    grant(number)         T: when the borrower *asked*, by its own clock
 //   renews before the end, the same amount, the owner blocks on
 //
 // The bound, over every window and whatever is lost, late, doubled, cut, stopped, restarted:
 //   1. An owner's uses in the last window and all that it has blocked are at most its part, at every moment
 //   at
 //      which it uses or lends. A part only grows while a server warms up.
-//   2. A loan ends for the borrower at T + loan, T taken before the ask was sent; the owner heard the ask
+//   2. A lease ends for the borrower at T + lease, T taken before the ask was sent; the owner heard the ask
 //   after that
-//      and blocks until one window past its own T' + loan. T' is later than T in true time, so no clocks are
+//      and blocks until one window past its own T' + lease. T' is later than T in true time, so no clocks are
 //      compared: each measures a length. The clocks have to be steady: they neither jump nor stand still, and
 //      run within 1% of each other, which `margin` covers.
 //   3. The right is looked up again where the request is written (`good_for`): a process that was stopped in
 //   between
 //      does not send. What is left is a stop between that look and the system's call right after it.
-//   4. A loan is taken once: by the number of its ask, which a new life does not know.
+//   4. A lease is taken once: by the number of its ask, which a new life does not know.
 //   5. A new life neither uses nor lends before all that its last one may have promised or used is over.
 //   6. Only those whose amounts are alike lend to each other, by a hash of them in each datagram.
 // Not covered: an owner that lies. Two routers told different starts of a server draw different owners; each
@@ -40,19 +40,19 @@
 #include <vector>
 
 #include "control.hpp"
-#include "peers/standing.hpp"
+#include "peers/member_state.hpp"
 
 namespace quillgrade::shared {
 
 using peers::Life;
 using peers::Number;
 
-struct RightTerms {
+struct QuotaTerms {
     Number self = 0;
     int routers = 1;
     int owners = 4;             // of each server's budget at a time; all routers need the same
     Micros window = 1'000'000;  // over which the settings bound the work
-    Micros loan = 3'000'000;    // how long a loan lasts; all routers need the same
+    Micros lease = 3'000'000;   // how long a lease lasts; all routers need the same
     std::uint32_t seed = 1;
     Micros now = 0;  // at the start of this life
 };
@@ -69,7 +69,7 @@
     std::uint32_t start = 0;  // the lower half of the server's start
     std::uint32_t number = 0;
     double amount = 0, least = 0;
-    std::uint32_t renews = 0;  // the loan that is to go on, for `amount` in all, by the number of its first
+    std::uint32_t renews = 0;  // the lease that is to go on, for `amount` in all, by the number of its first
                                // ask; 0: a new one
     bool operator==(const Ask&) const = default;
 };
@@ -85,16 +85,16 @@
     What what;
 };
 
-class Rights {
+class Quotas {
 public:
-    explicit Rights(const RightTerms& terms);
+    explicit Quotas(const QuotaTerms& terms);
 
-    static constexpr std::size_t most_servers = 256, most_loans = 512;
+    static constexpr std::size_t most_servers = 256, most_leases = 512;
     // How long after it was looked up a right may be used at most.
     static constexpr Micros good_for = 50'000;
     // Uses count for so long: one may be written `good_for` after it was counted, the next one at once.
     Micros counted() const { return terms.window + terms.window / 100 + good_for; }
-    Micros new_life_waits() const { return terms.loan + counted() + margin; }
+    Micros new_life_waits() const { return terms.lease + counted() + margin; }
 
     // All servers that are cold now, drains included. One that is left out is forgotten only when nothing
     // that was used or lent of it can count any more: else a list that loses it and has it back would give it
@@ -146,29 +146,29 @@
         std::vector<Number> borrowers{};
     };
     Shares shares(CacheId server, Micros now);
-    // What decides what it does from now on, times as lengths from `now`, for explorers (model/loans.cpp).
+    // What decides what it does from now on, times as lengths from `now`, for explorers (model/leases.cpp).
     // Numbers of asks go through `renumber`, as only which are alike matters.
     void fingerprint(std::vector<std::int64_t>& into, Micros now,
                      const std::function<std::int64_t(std::uint32_t)>& renumber) const;
 
 private:
-    static constexpr Micros margin = 50'000;  // clocks that run differently, over the length of a loan
+    static constexpr Micros margin = 50'000;  // clocks that run differently, over the length of a lease
     struct Use {
         Micros at, tag;
         double work;
     };
-    // Something to use: the own part, or a loan.
+    // Something to use: the own part, or a lease.
     struct Pot {
         Number owner;
-        std::uint32_t loan = 0;  // the number of its first ask
+        std::uint32_t lease = 0;  // the number of its first ask
         double amount = 0;
-        Micros until = 0;  // of the loan
+        Micros until = 0;  // of the lease
         std::vector<Use> uses{};
     };
     struct Lent {
         Number to;
         Life life;
-        std::uint32_t loan;
+        std::uint32_t lease;
         double amount;
         Micros until;  // blocked
     };
@@ -199,7 +199,7 @@
         std::vector<Waiting> waiting{};
         std::size_t turn = 0;
         bool due = false;
-        Number renewing = -1;  // whose loan is to go on, -1: whoever has some
+        Number renewing = -1;  // whose lease is to go on, -1: whoever has some
         Micros listed = 0;     // when it was last told to be cold
     };
     // A borrower waits for an answer so long; an owner keeps an ask for less, so that its answer is still
@@ -216,7 +216,7 @@
     double wish(Server& server, Micros now) const;
     std::optional<Grant> grant(Server& server, const Waiting& to, Micros now);
 
-    RightTerms terms;
+    QuotaTerms terms;
     std::map<CacheId, Server> servers;
     std::uint32_t number;
     Figures seen;
--- a/src/shared/tally.cpp
+++ b/src/shared/request_counts.cpp
@@ -1,4 +1,4 @@
-#include "shared/tally.hpp"
+#include "shared/request_counts.hpp"
 
 #include <xxhash.h>
 
@@ -8,15 +8,15 @@
 
 namespace quillgrade::shared {
 
-std::uint32_t Tally::bit_of(Number router) {
+std::uint32_t RequestCounts::bit_of(Number router) {
     auto number = static_cast<std::uint32_t>(router);
     return 1u << (XXH32(&number, sizeof number, 0) % 32);
 }
 
-Tally::Tally(Number self, int routers)
+RequestCounts::RequestCounts(Number self, int routers)
     : mine(bit_of(self)), times(1 + static_cast<int>(std::ceil(std::log2(routers + 1.0)))) {}
 
-void Tally::turn(Micros now) {
+void RequestCounts::turn(Micros now) {
     auto current = epoch_of(now);
     if (current <= epoch) return;  // a clock that was set back waits here
     bool next = current == epoch + 1;
@@ -27,7 +27,7 @@
 }
 
 // Full: names that nobody else has been asked for make room, as they change no draw. Else it is not counted.
-Tally::Name* Tally::enter(std::uint64_t name) {
+RequestCounts::Name* RequestCounts::enter(std::uint64_t name) {
     auto found = names.find(name);
     if (found != names.end()) return &found->second;
     if (names.size() >= most)
@@ -39,7 +39,7 @@
     return &names[name];
 }
 
-void Tally::spread(std::uint64_t name, Name& one) {
+void RequestCounts::spread(std::uint64_t name, Name& one) {
     if (std::popcount(one.now) > saturated) return;
     if (one.left <= 0) waiting.push_back(name);
     one.left = static_cast<std::int8_t>(times);
@@ -47,7 +47,7 @@
     while (waiting.size() > 2 * most) waiting.pop_front();
 }
 
-int Tally::asked(std::uint64_t name, Micros now) {
+int RequestCounts::asked(std::uint64_t name, Micros now) {
     turn(now);
     auto* one = enter(name);
     if (!one) return 0;
@@ -58,14 +58,14 @@
     return elsewhere(name, now);
 }
 
-int Tally::elsewhere(std::uint64_t name, Micros) const {
+int RequestCounts::elsewhere(std::uint64_t name, Micros) const {
     auto found = names.find(name);
     if (found == names.end()) return 0;
     auto& one = found->second;
     return std::max(std::popcount(one.now & ~mine), std::popcount(one.before & ~mine) / 2);
 }
 
-bool Tally::hear(const Count& count, Micros now) {
+bool RequestCounts::hear(const Count& count, Micros now) {
     turn(now);
     bool old = count.epoch + 1 == epoch;
     if (count.epoch != epoch && !old) {
@@ -81,7 +81,7 @@
     return true;
 }
 
-std::vector<Count> Tally::next(std::size_t most_now, Micros now) {
+std::vector<Count> RequestCounts::next(std::size_t most_now, Micros now) {
     turn(now);
     std::vector<Count> told;
     // The newest first: it is the likeliest to be asked for elsewhere next.
@@ -99,7 +99,7 @@
     return told;
 }
 
-void Tally::untold(std::uint64_t name) {
+void RequestCounts::untold(std::uint64_t name) {
     auto found = names.find(name);
     if (found == names.end()) return;
     if (found->second.left++ <= 0) waiting.push_back(name);
--- a/src/shared/tally.hpp
+++ b/src/shared/request_counts.hpp
@@ -18,7 +18,7 @@
 #include <vector>
 
 #include "control.hpp"
-#include "peers/standing.hpp"
+#include "peers/member_state.hpp"
 
 namespace quillgrade::shared {
 
@@ -31,13 +31,13 @@
     bool operator==(const Count&) const = default;
 };
 
-class Tally {
+class RequestCounts {
 public:
     static constexpr Micros epoch_lasts = 30'000'000;
     static constexpr std::size_t most = 2048;  // names
     static constexpr int saturated = 6;        // askers from which on a name is no more news
 
-    Tally(Number self, int routers);
+    RequestCounts(Number self, int routers);
     // This router is asked for it; answers how many others of the location were, as far as is known.
     int asked(std::uint64_t name, Micros now);
     int elsewhere(std::uint64_t name, Micros now) const;
--- a/tests/flaws/peers_flaws.cpp
+++ b/tests/flaws/peers_flaws.cpp
@@ -86,7 +86,7 @@
     if (!agree_within(sim, 10 * second)) return false;
     auto life = sim.protocol(4)->self();
     for (int i = 0; i < 8; i++)
-        if (sim.protocol(i)->view(4, sim.clock(i)).standing.incarnation > life.incarnation) return false;
+        if (sim.protocol(i)->view(4, sim.clock(i)).member_state.incarnation > life.incarnation) return false;
     return life.incarnation < 90;
 }
 
@@ -240,7 +240,7 @@
     start.routers = 4;
     start.now = 1'764'576'000 * second;
     start.life = 1000;
-    Circle circle(start);
+    Membership membership(start);
     auto now = start.now;
     auto tell = [&](Number from, Account account, std::vector<Accusation> accusations) {
         Message message;
@@ -248,17 +248,17 @@
         message.self = {500, Phase::Here, 0, Verdict::Alive, false};
         message.accounts = {account};
         message.accusations = std::move(accusations);
-        circle.hear(from, encode(message), now);
+        membership.hear(from, encode(message), now);
     };
     tell(1, {3, {400, Phase::Here, 0, Verdict::Suspected, false}}, {{3, 1, 0}, {3, 2, 0}});
     auto judged_at = now + start.rates.shortest;
-    while (now < judged_at - 20 * ms) circle.pass(now += 10 * ms);
+    while (now < judged_at - 20 * ms) membership.pass(now += 10 * ms);
     now += 5 * second;  // stopped just before it would have judged
-    circle.pass(now);
-    for (int i = 0; i < 5; i++) circle.pass(now += 10 * ms);
-    bool asked = circle.state(3) == State::Suspected;
-    for (int i = 0; i < 300; i++) circle.pass(now += 10 * ms);
-    return asked && circle.state(3) == State::Dead;  // it was, and did not answer
+    membership.pass(now);
+    for (int i = 0; i < 5; i++) membership.pass(now += 10 * ms);
+    bool asked = membership.state(3) == State::Suspected;
+    for (int i = 0; i < 300; i++) membership.pass(now += 10 * ms);
+    return asked && membership.state(3) == State::Dead;  // it was, and did not answer
 }
 
 bool clock_set_back() {
@@ -289,7 +289,7 @@
     {"a zone cut off wholly comes back", heals_after_cut, {Flaw::DeadNotProbed}},
     {"a one-sided cut is named, and makes nobody flap", one_sided_named, {Flaw::CutsUnheard}},
     {"nothing new costs little", quiet_is_cheap, {Flaw::NewsForever}},
-    {"a storm of pings does not raise what is sent", storm_is_bounded, {Flaw::NoAllowance}},
+    {"a storm of pings does not raise what is sent", storm_is_bounded, {Flaw::NoByteBudget}},
     {"a router that was stopped asks before it judges", asks_before_judging, {Flaw::AskedNotBefore}},
     {"a router whose clock was set back at its start is there", clock_set_back, {Flaw::LifeNotRaised}},
 };
--- a/tests/flaws/seam/peers/flaw.hpp
+++ b/tests/flaws/seam/peers/flaw.hpp
@@ -17,7 +17,7 @@
     CutsUnheard,      // which direction is cut is told to nobody
     ConfirmedByOne,   // one accuser counts as several
     NewsForever,      // news is told without end
-    NoAllowance,      // bytes a second are not bounded
+    NoByteBudget,     // bytes a second are not bounded
     AskedNotBefore,   // after a pause judges without asking
     LifeNotRaised,    // a new life that finds its number taken keeps it
     Last
--- a/tests/flaws/seam/shared/flaw.hpp
+++ b/tests/flaws/seam/shared/flaw.hpp
@@ -6,11 +6,11 @@
 
 enum class Flaw {
     None,
-    LoanWithoutEnd,      // 1: the borrower goes on after the end of its loan
+    LoanWithoutEnd,      // 1: the borrower goes on after the end of its lease
     LenderKeepsUsing,    // 2: what is lent is not held back by the lender
     NewLifeAtOnce,       // 3: a new life uses and lends what its last one may have promised
-    LoanTwice,           // 4: a loan that comes twice counts twice
-    AnyGrant,            // 5: what was never asked for, or by an earlier life, is taken as a loan
+    LoanTwice,           // 4: a lease that comes twice counts twice
+    AnyGrant,            // 5: what was never asked for, or by an earlier life, is taken as a lease
     NotLookedAgain,      // 6: a right is looked at when the lookup is decided, not when it is sent
     LentAgainAtOnce,     // 7: what was lent is lent on at its end, while its last use still counts
     AmountsBelieved,     // 8: amounts are taken as they are told
--- a/tests/flaws/shared_flaws.cpp
+++ b/tests/flaws/shared_flaws.cpp
@@ -25,12 +25,12 @@
 class Scene {
 public:
     Scene(int routers, std::uint64_t seed, rig::Weather weather = {0.05, 3 * ms, 24 * ms, 0.002, 0.02},
-          Micros loan = 2 * second, double per_s = 20)
+          Micros lease = 2 * second, double per_s = 20)
         : per_s(per_s), chance(static_cast<std::uint32_t>(seed)) {
         auto& terms = rig::partner_terms();
         terms.exchange = {};
         terms.exchange.site = rig::shared_site();
-        terms.exchange.loan = loan;
+        terms.exchange.lease = lease;
         terms.steady = [this] { return fleet ? fleet->now() : noon_at; };
         peers::Rates rates;
         rates.bytes_per_s = 600;
@@ -85,9 +85,9 @@
         return judged.exceeded == 0 && judged.lookups > 20;
     }
     std::vector<Number> owners() const {
-        RightTerms terms;
+        QuotaTerms terms;
         terms.routers = fleet->count();
-        return Rights(terms).owners_of(parent, static_cast<std::uint64_t>(started / ms));
+        return Quotas(terms).owners_of(parent, static_cast<std::uint64_t>(started / ms));
     }
 
     static constexpr double work = 100'000;
@@ -134,16 +134,16 @@
 // An owner and one who borrows from it, with nothing between them.
 struct Two {
     explicit Two(double whole) {
-        RightTerms terms;
+        QuotaTerms terms;
         terms.routers = 4;
         terms.owners = 1;
         terms.now = -1000 * second;
-        while (Rights(terms).owners_of(server, 5)[0] != 0) server++;
-        loan = terms.loan;
-        owner = std::make_unique<Rights>(terms);
+        while (Quotas(terms).owners_of(server, 5)[0] != 0) server++;
+        lease = terms.lease;
+        owner = std::make_unique<Quotas>(terms);
         terms.self = 1;
         terms.seed = 2;
-        borrower = std::make_unique<Rights>(terms);
+        borrower = std::make_unique<Quotas>(terms);
         for (auto* one : {owner.get(), borrower.get()}) one->list({{server, 5, whole}}, 0);
     }
     Grant lend() {
@@ -152,8 +152,8 @@
         return owner->grants(0).at(0).what;
     }
     CacheId server = 1;
-    Micros loan = 0;
-    std::unique_ptr<Rights> owner, borrower;
+    Micros lease = 0;
+    std::unique_ptr<Quotas> owner, borrower;
 };
 
 bool doubled() {
@@ -164,41 +164,41 @@
     return two.borrower->available(two.server, 0) + two.owner->available(two.server, 0) <= 400'000;
 }
 
-// The borrower looks, is stopped until long after its loan, and goes on; the owner uses what it has back.
+// The borrower looks, is stopped until long after its lease, and goes on; the owner uses what it has back.
 bool stopped_before_sending() {
     Two two(100'000);
     two.borrower->granted(0, two.lend(), 0);
     auto until = two.borrower->use(two.server, 100'000, 1, second);
-    auto later = two.loan + two.owner->counted() + second;
+    auto later = two.lease + two.owner->counted() + second;
     bool owner_sends = two.owner->available(two.server, later) >= 100'000;
     bool borrower_sends = later + 10 * ms <= until;
     return owner_sends && !borrower_sends;
 }
 
-// The last moment of a loan is used, and its owner wants the same right after its end.
+// The last moment of a lease is used, and its owner wants the same right after its end.
 bool loans_that_move() {
     Two two(100'000);
     two.borrower->granted(0, two.lend(), 0);
-    auto last = two.loan - 60 * ms;
+    auto last = two.lease - 60 * ms;
     bool used = two.borrower->available(two.server, last) >= 100'000;
     two.borrower->use(two.server, 100'000, 1, last);
-    return used && two.owner->available(two.server, two.loan + 10 * ms) < 100'000;
+    return used && two.owner->available(two.server, two.lease + 10 * ms) < 100'000;
 }
 
-// A loan that is still under way reaches a new life of who asked.
+// A lease that is still under way reaches a new life of who asked.
 bool loans_to_an_earlier_life() {
-    RightTerms terms;
+    QuotaTerms terms;
     terms.routers = 4;
     terms.owners = 1;
     terms.now = -1000 * second;
     CacheId server = 1;
-    while (Rights(terms).owners_of(server, 5)[0] != 0) server++;
+    while (Quotas(terms).owners_of(server, 5)[0] != 0) server++;
     auto made = [&](Number self) {
         terms.self = self;
         terms.seed = static_cast<std::uint32_t>(self + 1);
-        Rights rights(terms);
-        rights.list({{server, 5, 100'000}}, 0);
-        return rights;
+        Quotas quotas(terms);
+        quotas.list({{server, 5, 100'000}}, 0);
+        return quotas;
     };
     auto owner = made(0), first = made(1);
     first.missed(server, 100'000, 100'000, 0);
@@ -206,7 +206,7 @@
     owner.asked(1, 1, asks.at(0).what, 0);
     auto grant = owner.grants(0).at(0).what;
     // It comes when the owner has it back already.
-    auto late = terms.loan + owner.counted() + 60 * ms;
+    auto late = terms.lease + owner.counted() + 60 * ms;
     terms.seed = 99;
     auto next = made(1);
     next.granted(0, grant, late);
@@ -270,25 +270,25 @@
 }
 
 bool one_witness_is_none() {
-    Opinions opinions;
-    opinions.hear(1, 0, 1, {5, 1}, {5, 0, 4, 1, 0, 0}, noon_at);
-    return opinions.weigh(5, 0, noon_at).samples == 0;
+    HealthReports health_reports;
+    health_reports.hear(1, 0, 1, {5, 1}, {5, 0, 4, 1, 0, 0}, noon_at);
+    return health_reports.weigh(5, 0, noon_at).samples == 0;
 }
 
 bool liars_are_doubted() {
     // One whose own link is cut complains of all; one other has had bad luck with one server.
-    Opinions opinions;
+    HealthReports health_reports;
     for (CacheId server = 1; server <= 5; server++)
-        opinions.hear(1, 0, 1, {5, 5}, {server, 0, 4, 1, 0, 0}, noon_at);
-    opinions.hear(2, 0, 1, {5, 1}, {3, 0, 2, 1, 0, 0}, noon_at);
-    return opinions.weigh(3, 0, noon_at).samples == 0;
+        health_reports.hear(1, 0, 1, {5, 5}, {server, 0, 4, 1, 0, 0}, noon_at);
+    health_reports.hear(2, 0, 1, {5, 1}, {3, 0, 2, 1, 0, 0}, noon_at);
+    return health_reports.weigh(3, 0, noon_at).samples == 0;
 }
 
 bool old_counts_are_dropped() {
-    Tally tally(0, 40);
-    tally.asked(1, noon_at);
-    tally.hear({7, Tally::epoch_of(noon_at) - 5, 0xffffffff}, noon_at);
-    return tally.elsewhere(7, noon_at) == 0;
+    RequestCounts request_counts(0, 40);
+    request_counts.asked(1, noon_at);
+    request_counts.hear({7, RequestCounts::epoch_of(noon_at) - 5, 0xffffffff}, noon_at);
+    return request_counts.elsewhere(7, noon_at) == 0;
 }
 
 struct Guard {
--- a/tests/peers_test.cpp
+++ b/tests/peers_test.cpp
@@ -5,8 +5,8 @@
 
 #include "launch/launch.hpp"
 #include "operate/plan.hpp"
-#include "peers/circle.hpp"
-#include "peers/fitness.hpp"
+#include "peers/membership.hpp"
+#include "peers/request_health.hpp"
 #include "rig/world.hpp"
 
 using namespace quillgrade;
@@ -16,8 +16,8 @@
 
 constexpr Micros ms = 1000, second = 1000 * ms, noon_at = 1'764'576'000 * second;
 
-std::vector<Standing> all_standings() {
-    std::vector<Standing> all;
+std::vector<MemberState> all_standings() {
+    std::vector<MemberState> all;
     for (Life life : {1, 2})
         for (auto phase : {Phase::Here, Phase::Leaving, Phase::Gone})
             for (std::uint32_t incarnation : {0u, 1u})
@@ -37,19 +37,19 @@
     message.accounts = {{1, {1'764'575'000'000, Phase::Here, 1, Verdict::Suspected, false}},
                         {4, {1'764'576'100'000, Phase::Gone, 200, Verdict::Dead, true}}};
     message.accusations = {{1, 8, 300 * ms}};
-    message.hearings = {{2, 3, 6, true}};
+    message.link_reports = {{2, 3, 6, true}};
     message.first = 4;
     message.hashes = {0xdeadbeef};
     return message;
 }
 
-Circle a_circle(Number self = 0, int routers = 4) {
+Membership a_circle(Number self = 0, int routers = 4) {
     Start start;
     start.self = self;
     start.routers = routers;
     start.life = 1000;
     start.now = noon_at;
-    return Circle(start);
+    return Membership(start);
 }
 
 // A datagram of another router that tells one account.
@@ -100,7 +100,7 @@
     CHECK(got.about == 9);
     CHECK(got.accounts == message.accounts);
     CHECK(got.accusations == message.accusations);
-    CHECK(got.hearings == message.hearings);
+    CHECK(got.link_reports == message.link_reports);
     CHECK(got.hashes == message.hashes);
     CHECK(got.first == 4);
 }
@@ -117,7 +117,7 @@
     CHECK(decode("\x08\x02\x10\x01\x18\x01", 10, noon_at).why == Dropped::Format);
     CHECK(why(a_message(), 9) == Dropped::OutOfRange);  // about number 9, of nine
     auto future = a_message();
-    future.accounts[0].standing.life += 3 * 86'400'000;
+    future.accounts[0].member_state.life += 3 * 86'400'000;
     CHECK(why(future) == Dropped::OutOfRange);
     auto dead = a_message();
     dead.self.verdict = Verdict::Dead;  // nobody says that of itself
@@ -139,7 +139,7 @@
 
 TEST_CASE("the order probes everybody once a slot and all in a round") {
     for (int routers : {2, 3, 7, 50}) {
-        std::vector<Order> orders;
+        std::vector<ProbeSchedule> orders;
         for (Number who = 0; who < routers; who++) orders.emplace_back(who, routers, 333 * ms);
         std::vector<std::set<Number>> probed(static_cast<std::size_t>(routers));
         std::int64_t first = 1000 * (routers - 1);
@@ -175,83 +175,83 @@
 }
 
 TEST_CASE("four misses in a row make a cut, one datagram ends it") {
-    Hearings hearings(0);
-    for (int i = 0; i < 3; i++) CHECK(!hearings.missed(4, noon_at));
-    CHECK(hearings.doubtful(4));
-    CHECK(hearings.missed(4, noon_at));
-    CHECK(hearings.cut(4, 0));
-    CHECK(!hearings.cut(0, 4));
-    CHECK(hearings.heard(4, noon_at));
-    CHECK(!hearings.cut(4, 0));
+    Reachability reachability(0);
+    for (int i = 0; i < 3; i++) CHECK(!reachability.missed(4, noon_at));
+    CHECK(reachability.doubtful(4));
+    CHECK(reachability.missed(4, noon_at));
+    CHECK(reachability.cut(4, 0));
+    CHECK(!reachability.cut(0, 4));
+    CHECK(reachability.heard(4, noon_at));
+    CHECK(!reachability.cut(4, 0));
     SUBCASE("what another listener says goes by its life and count") {
-        CHECK(hearings.told({1, 2, 5, true}, 10, noon_at));
-        CHECK(!hearings.told({1, 2, 5, false}, 10, noon_at));
-        CHECK(!hearings.told({1, 2, 9, false}, 9, noon_at));
-        CHECK(hearings.told({1, 2, 6, false}, 10, noon_at));
-        CHECK(!hearings.cut(1, 2));
+        CHECK(reachability.told({1, 2, 5, true}, 10, noon_at));
+        CHECK(!reachability.told({1, 2, 5, false}, 10, noon_at));
+        CHECK(!reachability.told({1, 2, 9, false}, 9, noon_at));
+        CHECK(reachability.told({1, 2, 6, false}, 10, noon_at));
+        CHECK(!reachability.cut(1, 2));
     }
     SUBCASE("no more than 64 are kept") {
-        for (int i = 0; i < 200; i++) hearings.told({i, i + 1, 1, true}, 1, noon_at);
-        CHECK(hearings.cuts().size() <= 64);
+        for (int i = 0; i < 200; i++) reachability.told({i, i + 1, 1, true}, 1, noon_at);
+        CHECK(reachability.cuts().size() <= 64);
     }
 }
 
 TEST_CASE("news is told a bounded number of times, urgent first, less where others tell it") {
-    Rumours rumours(10);
-    rumours.news(1, false);
-    rumours.news(2, true);
-    CHECK(rumours.next(1) == std::vector<Number>{2});
+    GossipQueue gossip(10);
+    gossip.news(1, false);
+    gossip.news(2, true);
+    CHECK(gossip.next(1) == std::vector<Number>{2});
     int told = 1;
-    while (rumours.size() > 0) told += static_cast<int>(rumours.next(5).size());
-    CHECK(told == 2 * rumours.most());
-    rumours.news(3, true);
-    for (int i = 0; i < rumours.most(); i++) rumours.heard_again(3);
-    CHECK(rumours.size() == 0);
+    while (gossip.size() > 0) told += static_cast<int>(gossip.next(5).size());
+    CHECK(told == 2 * gossip.most());
+    gossip.news(3, true);
+    for (int i = 0; i < gossip.most(); i++) gossip.heard_again(3);
+    CHECK(gossip.size() == 0);
 }
 
 TEST_CASE("a router that was accused answers with a higher incarnation") {
-    auto circle = a_circle();
-    circle.hear(1, telling(1, {0, {1000, Phase::Here, 0, Verdict::Suspected, false}}), noon_at);
-    CHECK(circle.self().incarnation == 1);
-    circle.hear(1, telling(1, {0, {1000, Phase::Here, 0, Verdict::Dead, false}}), noon_at);
-    CHECK(circle.self().incarnation == 1);  // that one was answered already
-    circle.hear(1, telling(1, {0, {1000, Phase::Here, 7, Verdict::Alive, false}}), noon_at);
-    CHECK(circle.self().incarnation == 8);  // of its last run, within the same millisecond
-    circle.hear(1, telling(1, {0, {1000, Phase::Gone, 9, Verdict::Alive, false}}), noon_at);
-    CHECK(circle.self().life == 1001);  // which it did not say in this life
-    circle.hear(1, telling(1, {0, {5000, Phase::Here, 0, Verdict::Alive, false}}), noon_at);
-    CHECK(circle.self().life == 5001);
+    auto membership = a_circle();
+    membership.hear(1, telling(1, {0, {1000, Phase::Here, 0, Verdict::Suspected, false}}), noon_at);
+    CHECK(membership.self().incarnation == 1);
+    membership.hear(1, telling(1, {0, {1000, Phase::Here, 0, Verdict::Dead, false}}), noon_at);
+    CHECK(membership.self().incarnation == 1);  // that one was answered already
+    membership.hear(1, telling(1, {0, {1000, Phase::Here, 7, Verdict::Alive, false}}), noon_at);
+    CHECK(membership.self().incarnation == 8);  // of its last run, within the same millisecond
+    membership.hear(1, telling(1, {0, {1000, Phase::Gone, 9, Verdict::Alive, false}}), noon_at);
+    CHECK(membership.self().life == 1001);  // which it did not say in this life
+    membership.hear(1, telling(1, {0, {5000, Phase::Here, 0, Verdict::Alive, false}}), noon_at);
+    CHECK(membership.self().life == 5001);
 }
 
 TEST_CASE("nobody speaks under another's number, from elsewhere, or in my name") {
-    auto circle = a_circle();
+    auto membership = a_circle();
     auto gone = telling(2, {3, {400, Phase::Gone, 0, Verdict::Alive, false}});
-    circle.hear(1, gone, noon_at);
-    circle.hear(-1, gone, noon_at);
-    CHECK(circle.state(3) == State::Unknown);
-    circle.hear(2, gone, noon_at);
-    CHECK(circle.state(3) == State::Gone);
-    CHECK(circle.figures().dropped[static_cast<std::size_t>(Dropped::Source)] == 2);
+    membership.hear(1, gone, noon_at);
+    membership.hear(-1, gone, noon_at);
+    CHECK(membership.state(3) == State::Unknown);
+    membership.hear(2, gone, noon_at);
+    CHECK(membership.state(3) == State::Gone);
+    CHECK(membership.figures().dropped[static_cast<std::size_t>(Dropped::Source)] == 2);
     auto mine = telling(0, {3, {400, Phase::Here, 0, Verdict::Alive, false}});
-    circle.hear(0, mine, noon_at);
-    CHECK(circle.figures().dropped[static_cast<std::size_t>(Dropped::Source)] == 3);
+    membership.hear(0, mine, noon_at);
+    CHECK(membership.figures().dropped[static_cast<std::size_t>(Dropped::Source)] == 3);
 }
 
 TEST_CASE("counts are an interval, and only a router's own word makes it certain") {
-    auto circle = a_circle();
-    CHECK(circle.counts().surely == 1);
-    CHECK(circle.counts().possibly == 4);
-    circle.hear(1, telling(1, {2, {400, Phase::Here, 0, Verdict::Dead, false}}), noon_at);
-    circle.hear(1, telling(1, {3, {400, Phase::Gone, 0, Verdict::Alive, false}}), noon_at);
-    CHECK(circle.counts().surely == 2);
-    CHECK(circle.counts().possibly == 3);  // the dead one may be behind a cut
-    CHECK(circle.view(3, noon_at).sure == 1);
-    CHECK(circle.view(2, noon_at).sure < 1);
-    CHECK(circle.view(1, noon_at + 60 * second).sure < circle.view(1, noon_at).sure);
+    auto membership = a_circle();
+    CHECK(membership.counts().surely == 1);
+    CHECK(membership.counts().possibly == 4);
+    membership.hear(1, telling(1, {2, {400, Phase::Here, 0, Verdict::Dead, false}}), noon_at);
+    membership.hear(1, telling(1, {3, {400, Phase::Gone, 0, Verdict::Alive, false}}), noon_at);
+    CHECK(membership.counts().surely == 2);
+    CHECK(membership.counts().possibly == 3);  // the dead one may be behind a cut
+    CHECK(membership.view(3, noon_at).sure == 1);
+    CHECK(membership.view(2, noon_at).sure < 1);
+    CHECK(membership.view(1, noon_at + 60 * second).sure < membership.view(1, noon_at).sure);
 }
 
 TEST_CASE("a router that handles too few of its lookups is ill, and well again with a margin") {
-    Fitness fitness;
+    RequestHealth request_health;
     std::uint64_t ended = 0, bad = 0;
     auto run = [&](double share, int seconds, Micros& now) {
         bool ill = false;
@@ -259,7 +259,7 @@
             now += second;
             ended += 20;
             bad += static_cast<std::uint64_t>(20 * share);
-            ill = fitness.told(ended, bad, now);
+            ill = request_health.told(ended, bad, now);
         }
         return ill;
     };
--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -1,4 +1,4 @@
-// Connections to caches: one errand after the other, and how each ends.
+// Connections to caches: one attempt after the other, and how each ends.
 #include "quiet.hpp"
 
 using namespace quillgrade;
--- a/tests/quiet.hpp
+++ b/tests/quiet.hpp
@@ -48,7 +48,7 @@
         write();
     }
     void write() {
-        pool.write([](CacheId, const Errand&) { return Pool::Word{http::probe()}; });
+        pool.write([](CacheId, const Attempt&) { return Pool::Word{http::probe()}; });
     }
     // The connection on which a stand-in for cache 1 was asked by then.
     Socket asked(const Listener& cache) {
--- a/tests/resting_link_test.cpp
+++ b/tests/resting_link_test.cpp
@@ -1,4 +1,4 @@
-// Connections to caches between two errands: what comes unasked is never the answer of the next lookup.
+// Connections to caches between two attempts: what comes unasked is never the answer of the next lookup.
 #include "quiet.hpp"
 
 using namespace quillgrade;
@@ -74,13 +74,13 @@
     CHECK(quiet.gathered_of<Landed>()[0].outcome == Outcome::Unconnected);
 }
 
-TEST_CASE("a connection whose errand was refused at the last moment stays for the next") {
+TEST_CASE("a connection whose attempt was refused at the last moment stays for the next") {
     Quiet quiet;
     quiet.writing = false;
     Listener cache;
     quiet.send(cache.port, 0);
     quiet.pump([&] { return quiet.pool.to_write() == 1; });
-    quiet.pool.write([](CacheId, const Errand&) { return Pool::Word{}; });
+    quiet.pool.write([](CacheId, const Attempt&) { return Pool::Word{}; });
     CHECK(quiet.landed().outcome == Outcome::Moot);
     CHECK(quiet.pool.links() == 1);
     auto link = accept(cache);
--- a/tests/shared_test.cpp
+++ b/tests/shared_test.cpp
@@ -1,5 +1,5 @@
 // What the routers share: the pieces, each by itself. With guards taken out: flaws/shared_flaws.cpp; in every
-// order: model/loans.cpp; in several processes: fleet/shared/.
+// order: model/leases.cpp; in several processes: fleet/shared/.
 #include <doctest/doctest.h>
 
 #include <bit>
@@ -37,8 +37,8 @@
     return all;
 }
 
-RightTerms terms_of(Number self, int routers = 4, int owners = 1) {
-    RightTerms terms;
+QuotaTerms terms_of(Number self, int routers = 4, int owners = 1) {
+    QuotaTerms terms;
     terms.self = self;
     terms.routers = routers;
     terms.owners = owners;
@@ -47,14 +47,14 @@
 }
 // A server that router `owner` alone owns.
 CacheId owned_by(Number owner, int routers = 4) {
-    Rights rights(terms_of(0, routers));
+    Quotas quotas(terms_of(0, routers));
     CacheId id = 1;
-    while (rights.owners_of(id, 5)[0] != owner) id++;
+    while (quotas.owners_of(id, 5)[0] != owner) id++;
     return id;
 }
 struct Pair {  // router 0 owns, router 1 borrows
     CacheId server = owned_by(0);
-    Rights owner{terms_of(0)}, borrower{terms_of(1)};
+    Quotas owner{terms_of(0)}, borrower{terms_of(1)};
     explicit Pair(double whole = 400'000) {
         owner.list({{server, 5, whole}}, 0);
         borrower.list({{server, 5, whole}}, 0);
@@ -62,7 +62,7 @@
     std::vector<Posted<Ask>> asks(Micros now) {
         return borrower.asks([](Number) { return true; }, now);
     }
-    // A loan of one lookup, asked for and granted at once.
+    // A lease of one lookup, asked for and granted at once.
     bool lend(Micros now, double work = 100'000) {
         borrower.missed(server, work, work, now);
         auto sent = asks(now);
@@ -221,10 +221,10 @@
     CHECK(seen.size() == 21);
 }
 
-// ---- rights
+// ---- quotas
 
 TEST_CASE("all routers draw the same owners, and as many owners as routers are all of them") {
-    Rights one(terms_of(0, 300, 4)), other(terms_of(7, 300, 4)), few(terms_of(2, 3, 4));
+    Quotas one(terms_of(0, 300, 4)), other(terms_of(7, 300, 4)), few(terms_of(2, 3, 4));
     for (CacheId id = 1; id < 50; id++) {
         auto owners = one.owners_of(id, 5);
         CHECK(owners == other.owners_of(id, 5));
@@ -250,7 +250,7 @@
     REQUIRE(pair.lend(0));
     CHECK(pair.borrower.available(pair.server, 0) == 100'000);
     CHECK(pair.owner.available(pair.server, 0) == 300'000);
-    auto end = terms_of(0).loan;
+    auto end = terms_of(0).lease;
     CHECK(pair.borrower.available(pair.server, end - 60 * ms) == 100'000);
     CHECK(pair.borrower.available(pair.server, end) == 0);
     CHECK(pair.owner.available(pair.server, end + pair.owner.counted()) == 300'000);
@@ -260,10 +260,10 @@
 TEST_CASE("a right is good for a moment, and not past its loan") {
     Pair pair;
     REQUIRE(pair.lend(0));
-    CHECK(pair.borrower.use(pair.server, 100'000, 1, second) == second + Rights::good_for);
-    auto late = terms_of(0).loan - 70 * ms;
+    CHECK(pair.borrower.use(pair.server, 100'000, 1, second) == second + Quotas::good_for);
+    auto late = terms_of(0).lease - 70 * ms;
     auto until = pair.borrower.use(pair.server, 1, 2, late);
-    CHECK(until <= terms_of(0).loan - 50 * ms);
+    CHECK(until <= terms_of(0).lease - 50 * ms);
 }
 
 TEST_CASE("a loan comes once, to who asked for it, and not too late") {
@@ -273,8 +273,8 @@
     pair.owner.asked(1, 9, ask, 0);
     auto grant = pair.owner.grants(0).at(0).what;
     auto copy = pair.borrower;
-    copy.granted(0, grant, terms_of(0).loan);  // its time is over
-    CHECK(copy.available(pair.server, terms_of(0).loan) == 0);
+    copy.granted(0, grant, terms_of(0).lease);  // its time is over
+    CHECK(copy.available(pair.server, terms_of(0).lease) == 0);
     pair.borrower.granted(2, grant, 0);  // not from whom it was asked
     CHECK(pair.borrower.available(pair.server, 0) == 0);
     auto other = grant;
@@ -284,7 +284,7 @@
     pair.borrower.granted(0, grant, 0);
     pair.borrower.granted(0, grant, 0);
     CHECK(pair.borrower.available(pair.server, 0) == 100'000);
-    Rights next_life(terms_of(1));
+    Quotas next_life(terms_of(1));
     next_life.list({{pair.server, 5, 400'000}}, 0);
     next_life.granted(0, grant, 0);
     CHECK(next_life.available(pair.server, 0) == 0);
@@ -310,11 +310,11 @@
 TEST_CASE("a new life neither uses nor lends before what its last one promised is over") {
     auto terms = terms_of(0);
     terms.now = 0;
-    Rights owner(terms);
+    Quotas owner(terms);
     auto server = owned_by(0);
     owner.list({{server, 5, 400'000}}, 0);
     auto waits = owner.new_life_waits();
-    CHECK(waits >= terms.loan + owner.counted());
+    CHECK(waits >= terms.lease + owner.counted());
     CHECK(owner.available(server, waits - 1) == 0);
     owner.asked(1, 9, {server, 5, 1, 100'000, 100'000, 0}, waits - 10);
     CHECK(owner.grants(waits - 10).empty());
@@ -325,17 +325,17 @@
 TEST_CASE("a loan in use is renewed, raised where more is wanted, and the owner blocks it on") {
     Pair pair;
     REQUIRE(pair.lend(0));
-    auto loan = terms_of(0).loan;
-    for (Micros now = 0; now < 4 * loan; now += 100 * ms) {
+    auto lease = terms_of(0).lease;
+    for (Micros now = 0; now < 4 * lease; now += 100 * ms) {
         if (pair.borrower.available(pair.server, now) >= 100'000)
             pair.borrower.use(pair.server, 100'000, now, now);
         pair.lend(now);
         REQUIRE(pair.borrower.available(pair.server, now) >= 0);
     }
     CHECK(pair.owner.figures().renewed > 2);
-    auto shares = pair.borrower.shares(pair.server, 4 * loan - 100 * ms);
+    auto shares = pair.borrower.shares(pair.server, 4 * lease - 100 * ms);
     CHECK(shares.borrowed >= 200'000);
-    CHECK(pair.owner.shares(pair.server, 4 * loan - 100 * ms).lent >= shares.borrowed);
+    CHECK(pair.owner.shares(pair.server, 4 * lease - 100 * ms).lent >= shares.borrowed);
 }
 
 TEST_CASE("what never reached the server is given back, to the use it was told with") {
@@ -365,7 +365,7 @@
         int routers = 3 + draw(6), owners = 1 + draw(4);
         CacheId server = 1 + static_cast<CacheId>(draw(1000));
         double whole = 400'000;
-        std::vector<Rights> all;
+        std::vector<Quotas> all;
         std::vector<Life> lives(static_cast<std::size_t>(routers), 1);
         std::vector<Micros> skew;  // steady clocks start anywhere
         for (Number i = 0; i < routers; i++) {
@@ -392,15 +392,15 @@
         for (Micros now = 0; now < 30 * second; now += 10 * ms) {
             for (std::size_t i = 0; i < all.size(); i++) {
                 auto clock = now + skew[i];
-                auto& rights = all[i];
-                rights.list({{server, 5, whole}}, clock);
+                auto& quotas = all[i];
+                quotas.list({{server, 5, whole}}, clock);
                 if (draw(4) == 0) {
-                    if (rights.available(server, clock) >= 100'000) {
-                        auto until = rights.use(server, 100'000, clock, clock);
+                    if (quotas.available(server, clock) >= 100'000) {
+                        auto until = quotas.use(server, 100'000, clock, clock);
                         // Mostly written at once, now and then after a stop.
                         pending.push_back({now + (draw(10) ? draw(60) * ms : draw(6000) * ms), until, i});
                     } else {
-                        rights.missed(server, 100'000, 100'000, clock);
+                        quotas.missed(server, 100'000, 100'000, clock);
                     }
                 }
                 auto post = [&](Flying one) {
@@ -411,16 +411,16 @@
                     }
                 };
                 auto self = static_cast<Number>(i);
-                for (auto& [to, ask] : rights.asks([](Number) { return true; }, clock))
+                for (auto& [to, ask] : quotas.asks([](Number) { return true; }, clock))
                     post({0, self, to, lives[i], ask, {}});
-                for (auto& [to, grant] : rights.grants(clock)) post({0, self, to, lives[i], {}, grant});
+                for (auto& [to, grant] : quotas.grants(clock)) post({0, self, to, lives[i], {}, grant});
                 if (draw(2000) == 0) {
                     lives[i]++;
                     auto terms = terms_of(self, routers, owners);
                     terms.now = clock;
                     terms.seed = chance();
-                    rights = Rights(terms);
-                    rights.list({{server, 5, whole}}, clock);
+                    quotas = Quotas(terms);
+                    quotas.list({{server, 5, whole}}, clock);
                     std::erase_if(pending, [&](auto& one) { return one.router == i; });
                 }
             }
@@ -452,24 +452,24 @@
 // ---- judgements
 
 TEST_CASE("two witnesses make a judgement, one does not, and age makes it fade") {
-    Opinions opinions;
+    HealthReports health_reports;
     Complaint slow{5, 0, 3, 0, 6.0, 0};
-    opinions.hear(1, 0, 1, {4, 1}, slow, noon_at);
-    CHECK(opinions.weigh(5, 0, noon_at).samples == 0);
-    opinions.hear(2, 1, 1, {4, 1}, slow, noon_at);
-    auto fresh = opinions.weigh(5, 0, noon_at);
+    health_reports.hear(1, 0, 1, {4, 1}, slow, noon_at);
+    CHECK(health_reports.weigh(5, 0, noon_at).samples == 0);
+    health_reports.hear(2, 1, 1, {4, 1}, slow, noon_at);
+    auto fresh = health_reports.weigh(5, 0, noon_at);
     CHECK(fresh.samples == 6);
     CHECK(fresh.slow == 6.0);
-    auto later = opinions.weigh(5, 0, noon_at + Opinions::half_life);
+    auto later = health_reports.weigh(5, 0, noon_at + HealthReports::half_life);
     CHECK(later.samples == doctest::Approx(3));
-    CHECK(opinions.weigh(5, 0, noon_at + Opinions::life).samples == 0);
-    CHECK(opinions.weigh(5, 1, noon_at).samples == 0);  // it was started again since
-    opinions.expire(noon_at + Opinions::life);
-    CHECK(opinions.size() == 0);
+    CHECK(health_reports.weigh(5, 0, noon_at + HealthReports::life).samples == 0);
+    CHECK(health_reports.weigh(5, 1, noon_at).samples == 0);  // it was started again since
+    health_reports.expire(noon_at + HealthReports::life);
+    CHECK(health_reports.size() == 0);
 }
 
 TEST_CASE("witnesses in different zones count more than as many in one") {
-    Opinions one_zone, many;
+    HealthReports one_zone, many;
     Complaint bad{5, 0, 4, 1, 0, 0};
     for (Number i = 0; i < 4; i++) {
         one_zone.hear(i, 0, 1, {4, 1}, bad, noon_at);
@@ -480,21 +480,21 @@
 }
 
 TEST_CASE("a witness that alone complains of most servers is itself doubted") {
-    Opinions opinions;
+    HealthReports health_reports;
     Complaint bad{5, 0, 4, 1, 0, 0};
-    opinions.hear(1, 0, 1, {5, 5}, bad, noon_at);
-    opinions.hear(2, 1, 1, {5, 1}, bad, noon_at);
-    CHECK(opinions.weigh(5, 0, noon_at).samples == 0);
-    opinions.hear(3, 2, 1, {5, 1}, bad, noon_at);
-    CHECK(opinions.weigh(5, 0, noon_at).samples == 12);  // beside two others it is heard
+    health_reports.hear(1, 0, 1, {5, 5}, bad, noon_at);
+    health_reports.hear(2, 1, 1, {5, 1}, bad, noon_at);
+    CHECK(health_reports.weigh(5, 0, noon_at).samples == 0);
+    health_reports.hear(3, 2, 1, {5, 1}, bad, noon_at);
+    CHECK(health_reports.weigh(5, 0, noon_at).samples == 12);  // beside two others it is heard
 }
 
 TEST_CASE("one witness can't make a server as slow as it likes") {
-    Opinions opinions;
-    opinions.hear(1, 0, 1, {5, 1}, {5, 0, 4, 0, 3, 0}, noon_at);
-    opinions.hear(2, 1, 1, {5, 1}, {5, 0, 4, 0, 3.2, 0}, noon_at);
-    opinions.hear(3, 2, 1, {5, 1}, {5, 0, 4, 0, 1e5, 0}, noon_at);
-    CHECK(opinions.weigh(5, 0, noon_at).slow == 3.2);
+    HealthReports health_reports;
+    health_reports.hear(1, 0, 1, {5, 1}, {5, 0, 4, 0, 3, 0}, noon_at);
+    health_reports.hear(2, 1, 1, {5, 1}, {5, 0, 4, 0, 3.2, 0}, noon_at);
+    health_reports.hear(3, 2, 1, {5, 1}, {5, 0, 4, 0, 1e5, 0}, noon_at);
+    CHECK(health_reports.weigh(5, 0, noon_at).slow == 3.2);
 }
 
 TEST_CASE("hearsay speaks only where own samples are few, and own samples beat it") {
@@ -546,7 +546,7 @@
 
 TEST_CASE("counts never fall under the own ones and never rise over what all were asked") {
     constexpr int routers = 40;
-    std::vector<Tally> all;
+    std::vector<RequestCounts> all;
     for (Number i = 0; i < routers; i++) all.emplace_back(i, routers);
     std::mt19937 chance(5);
     std::map<std::uint64_t, std::set<Number>> truly;
@@ -573,30 +573,31 @@
 }
 
 TEST_CASE("an epoch that is over counts half, then nothing, and counts of a life long over are dropped") {
-    Tally tally(0, 40);
+    RequestCounts request_counts(0, 40);
     std::uint32_t six = 0;
     for (Number i = 1; std::popcount(six) < 6; i++)
-        if (Tally::bit_of(i) != Tally::bit_of(0)) six |= Tally::bit_of(i);
-    auto epoch = Tally::epoch_of(noon_at);
-    CHECK(tally.hear({7, epoch, six}, noon_at));
-    CHECK(!tally.hear({7, epoch, six}, noon_at));
-    CHECK(tally.elsewhere(7, noon_at) == 6);
-    CHECK(tally.asked(8, noon_at + Tally::epoch_lasts) == 0);
-    CHECK(tally.elsewhere(7, noon_at + Tally::epoch_lasts) == 3);
-    CHECK(!tally.hear({9, epoch - 1, six}, noon_at + Tally::epoch_lasts));
-    CHECK(tally.elsewhere(9, noon_at + Tally::epoch_lasts) == 0);
-    tally.asked(8, noon_at + 2 * Tally::epoch_lasts);
-    CHECK(tally.elsewhere(7, noon_at + 2 * Tally::epoch_lasts) == 0);
+        if (RequestCounts::bit_of(i) != RequestCounts::bit_of(0)) six |= RequestCounts::bit_of(i);
+    auto epoch = RequestCounts::epoch_of(noon_at);
+    CHECK(request_counts.hear({7, epoch, six}, noon_at));
+    CHECK(!request_counts.hear({7, epoch, six}, noon_at));
+    CHECK(request_counts.elsewhere(7, noon_at) == 6);
+    CHECK(request_counts.asked(8, noon_at + RequestCounts::epoch_lasts) == 0);
+    CHECK(request_counts.elsewhere(7, noon_at + RequestCounts::epoch_lasts) == 3);
+    CHECK(!request_counts.hear({9, epoch - 1, six}, noon_at + RequestCounts::epoch_lasts));
+    CHECK(request_counts.elsewhere(9, noon_at + RequestCounts::epoch_lasts) == 0);
+    request_counts.asked(8, noon_at + 2 * RequestCounts::epoch_lasts);
+    CHECK(request_counts.elsewhere(7, noon_at + 2 * RequestCounts::epoch_lasts) == 0);
 }
 
 TEST_CASE("names are bounded, and those that change a draw stay") {
-    Tally tally(0, 40);
-    auto epoch = Tally::epoch_of(noon_at);
-    auto other = Tally::bit_of(1) == Tally::bit_of(0) ? Tally::bit_of(2) : Tally::bit_of(1);
-    for (std::uint64_t i = 1; i <= 100; i++) tally.hear({i, epoch, other}, noon_at);
-    for (std::uint64_t i = 1000; i < 1000 + 3 * Tally::most; i++) tally.asked(i, noon_at);
-    CHECK(tally.size() <= Tally::most);
-    for (std::uint64_t i = 1; i <= 100; i++) REQUIRE(tally.elsewhere(i, noon_at) == 1);
+    RequestCounts request_counts(0, 40);
+    auto epoch = RequestCounts::epoch_of(noon_at);
+    auto other = RequestCounts::bit_of(1) == RequestCounts::bit_of(0) ? RequestCounts::bit_of(2)
+                                                                      : RequestCounts::bit_of(1);
+    for (std::uint64_t i = 1; i <= 100; i++) request_counts.hear({i, epoch, other}, noon_at);
+    for (std::uint64_t i = 1000; i < 1000 + 3 * RequestCounts::most; i++) request_counts.asked(i, noon_at);
+    CHECK(request_counts.size() <= RequestCounts::most);
+    for (std::uint64_t i = 1; i <= 100; i++) REQUIRE(request_counts.elsewhere(i, noon_at) == 1);
 }
 
 TEST_CASE("p follows how much of the location is heard, without a jump") {
@@ -617,7 +618,7 @@
 // ---- what rides on a datagram
 
 TEST_CASE("a load is read as it was written, within its room") {
-    Load load;
+    Payload load;
     load.terms = 77;
     load.digest = 88;
     load.facts = {{About::Server, 5, 0, true, noon_ms - 300},
@@ -650,7 +651,7 @@
 
 TEST_CASE("loads of any bytes cost only themselves") {
     std::mt19937 chance(3);
-    Load load;
+    Payload load;
     load.facts = {{About::Object, 7, noon_ms, false, noon_ms}};
     load.asks = {{9, 10, 11, 100'000, 50'000, 12}};
     auto good = encode(load, 250, noon_at).bytes;
@@ -672,10 +673,10 @@
     CHECK(good.faults.empty());
     REQUIRE(good.plan.shared);
     CHECK(good.plan.shared->owners == 6);
-    CHECK(good.plan.shared->loan == 900 * ms);
+    CHECK(good.plan.shared->lease == 900 * ms);
     CHECK(!good.plan.shared->counts);
     CHECK(good.plan.shared->facts);
-    CHECK(!operate::read(R"({"peers": {}, "shared": {"rights": false}})").plan.shared->rights);
+    CHECK(!operate::read(R"({"peers": {}, "shared": {"rights": false}})").plan.shared->quotas);
     CHECK(operate::read(R"({"shared": {}})").faults.size() == 1);
     CHECK(operate::read(R"({"peers": {}, "shared": {"rights": {"owners": 0}}})").faults.size() == 1);
     CHECK(operate::read(R"({"peers": {}, "shared": {"rights": {"owners": 2.5}}})").faults.size() == 1);
