Add the switch for state transfer among peers, its pages, and a checked bound of 8,192 routers

Cause: a router that restarts at 1,000 routers and more does not learn who is there. The transfer that mends it needs a switch that is off by default, datagram kinds, and a dense form for accounts. Change: peers.state_transfer in the operators' file and Rates::state_transfer; two new kinds that are dropped and counted while it is off; snapshot_page packs the accounts of a range into one datagram; most_routers is 8,192, checked where the list is read and where a datagram is read (it was 4,096 and used by nobody).

--- a/src/launch/launch.cpp
+++ b/src/launch/launch.cpp
@@ -8,6 +8,8 @@
 #include <iterator>
 #include <nlohmann/json.hpp>
 
+#include "peers/member_state.hpp"
+
 namespace quillgrade::launch {
 
 namespace {
@@ -15,7 +17,7 @@
 using nlohmann::json;
 using site::Unusable;
 
-constexpr std::size_t most_neighbours = 4096;
+constexpr std::size_t most_neighbours = peers::most_routers;
 constexpr int other_descriptors = 24;  // log, listener, loop, signals, coordinator, and some to spare
 
 // Guards against amounts that no deployment has; only a kind that the site lacks is told as -1.
@@ -84,7 +86,8 @@
         all.self = settings.at("index").get<int>();
         all.zone = settings.at("zone").get<int>();
         if (all.all.size() > most_neighbours || all.self < 0 || all.self >= static_cast<int>(all.all.size()))
-            throw Unusable("peers: the list does not hold this router's number, or is over 4,096 long");
+            throw Unusable("peers: the list does not hold this router's number, or is over " +
+                           std::to_string(most_neighbours) + " long");
         return all;
     } catch (const json::exception& error) {
         throw Unusable(std::string("peers: ") + error.what());
--- a/src/node/peer_port.cpp
+++ b/src/node/peer_port.cpp
@@ -48,6 +48,7 @@
     start.rates.shortest = plan.shortest;
     start.rates.longest = plan.longest;
     start.rates.gap = plan.gap;
+    start.rates.state_transfer = plan.state_transfer;
     return start;
 }
 
@@ -145,8 +146,8 @@
     log::warning(
         "peers: datagrams dropped so far: {} too long, {} malformed, {} of another format, {} from "
         "elsewhere, "
-        "{} out of range",
-        dropped[0], dropped[1], dropped[2], dropped[3], dropped[4]);
+        "{} out of range, {} of a state transfer that is off here",
+        dropped[0], dropped[1], dropped[2], dropped[3], dropped[4], dropped[5]);
 }
 
 }  // namespace quillgrade::node
--- a/src/operate/plan.cpp
+++ b/src/operate/plan.cpp
@@ -188,6 +188,7 @@
     time("shortest_ms", peers.shortest, 200, 60'000);
     time("longest_ms", peers.longest, 200, 600'000);
     time("gap_ms", peers.gap, 50, 10'000);
+    members.yes_or_no("state_transfer", peers.state_transfer);
     if (peers.longest < peers.shortest) members.fault("longest_ms", "it is under shortest_ms");
     if (peers.gap * 2 > peers.period * 3)
         members.fault("gap_ms", "it is over one and a half periods: pauses would pass for others' silence");
--- a/src/operate/plan.hpp
+++ b/src/operate/plan.hpp
@@ -53,6 +53,7 @@
     Micros shortest = 2'100'000;  // from an accusation to a verdict, where another accuses too
     Micros longest = 8'000'000;   // where nobody else does
     Micros gap = 250'000;         // a pass of the loop that is later by more means that the router was away
+    bool state_transfer = false;  // a new router asks the others for all accounts (docs/state-transfer.md)
     bool operator==(const Neighbours&) const = default;
 };
 
--- a/src/peers/member_state.hpp
+++ b/src/peers/member_state.hpp
@@ -25,6 +25,10 @@
 using Life =
     std::uint64_t;  // Unix milliseconds of the start, or one above an earlier life; 0: never heard of
 
+// Routers of a tier that the protocol is built and measured for; a longer list is refused at the start. A
+// hash of a digest has 16 bits for a number, a page of a state transfer 13.
+inline constexpr int most_routers = 8192;
+
 enum class Phase : std::uint8_t { Here, Leaving, Gone };
 enum class Verdict : std::uint8_t { Alive, Suspected, Dead };
 
--- a/src/peers/membership.cpp
+++ b/src/peers/membership.cpp
@@ -108,6 +108,10 @@
         seen.dropped[static_cast<std::size_t>(Dropped::Source)]++;
         return;
     }
+    if (!rates.state_transfer && of_state_transfer(decoded.message->kind)) {
+        seen.dropped[static_cast<std::size_t>(Dropped::TransferOff)]++;
+        return;
+    }
     seen.heard++;
     take(*decoded.message, now);
     pass_on(now);
@@ -202,6 +206,8 @@
         case Kind::Digest:
             return compare(message, now);
         case Kind::News:
+        case Kind::RangeRequest:
+        case Kind::RangePage:
             return;
     }
 }
--- a/src/peers/membership.hpp
+++ b/src/peers/membership.hpp
@@ -49,6 +49,9 @@
     Micros longest = 8'000'000;   // where one does
     Micros gap = 250'000;         // a later pass than this means that the router was away
     int helpers = 2;
+    // State transfer at the start and after cuts (docs/state-transfer.md). Off: no datagram of its kinds is
+    // sent, and those that come are dropped and counted.
+    bool state_transfer = false;
     bool operator==(const Rates&) const = default;
 };
 
--- a/src/peers/message.cpp
+++ b/src/peers/message.cpp
@@ -1,26 +1,31 @@
 #include "peers/message.hpp"
 
 #include "peers.pb.h"
+#include "peers/status_word.hpp"
 
 namespace quillgrade::peers {
 
 namespace {
 
 constexpr std::uint32_t format = 1;
+constexpr int last_kind = static_cast<int>(Kind::RangePage);
 constexpr Micros ms = 1000, clocks_apart = 86'400'000 * ms, tenth = 100 * ms, oldest = 600'000 * ms;
 
-std::uint32_t word_of(const MemberState& s) {
-    return s.incarnation * 32 + (s.ill ? 16 : 0) + static_cast<std::uint32_t>(s.verdict) * 4 +
-           static_cast<std::uint32_t>(s.phase);
-}
-
-bool read_word(std::uint32_t word, MemberState& into) {
-    auto phase = word % 4, verdict = word / 4 % 4;
-    into.ill = word & 16;
-    into.incarnation = word / 32;
-    into.phase = static_cast<Phase>(phase);
-    into.verdict = static_cast<Verdict>(verdict);
-    return phase <= 2 && verdict <= 2;
+// The fields of a state transfer. Only its own kinds may have them.
+bool read_transfer(const wire::Datagram& wire, Message& message, std::uint32_t routers, Life latest) {
+    bool request = message.kind == Kind::RangeRequest, page = message.kind == Kind::RangePage;
+    if (!request && (wire.range_members() != 0 || wire.pages() != 0)) return false;
+    if (!page && (wire.complete() || !wire.page().empty())) return false;
+    if (request) {
+        if (wire.range_members() == 0 || wire.range_members() > routers - wire.first()) return false;
+        if (wire.pages() == 0 || wire.pages() > most_pages) return false;
+    }
+    message.range_members = static_cast<int>(wire.range_members());
+    message.pages = static_cast<int>(wire.pages());
+    message.complete = wire.complete();
+    if (wire.page().empty()) return true;
+    message.page = unpack(wire.page(), static_cast<int>(routers), latest);
+    return message.page.has_value();
 }
 
 }  // namespace
@@ -31,16 +36,17 @@
     if (!wire.ParseFromArray(datagram.data(), static_cast<int>(datagram.size())))
         return {{}, Dropped::Malformed};
     if (wire.format() != format) return {{}, Dropped::Format};
+    if (routers > most_routers) return {{}, Dropped::OutOfRange};
     auto count = static_cast<std::uint32_t>(routers);
     auto latest = static_cast<Life>((now + clocks_apart) / ms);
     auto good_life = [&](Life life) { return life > 0 && life <= latest; };
     Message message;
     auto kind = static_cast<int>(wire.kind());
-    if (wire.from() >= count || !good_life(wire.life()) || kind < 1 || kind > 6 || wire.zone() > 256)
+    if (wire.from() >= count || !good_life(wire.life()) || kind < 1 || kind > last_kind || wire.zone() > 256)
         return {{}, Dropped::OutOfRange};
     message.from = static_cast<Number>(wire.from());
     message.self.life = wire.life();
-    if (!read_word(wire.word(), message.self) || message.self.verdict != Verdict::Alive)
+    if (!read_status_word(wire.word(), message.self) || message.self.verdict != Verdict::Alive)
         return {{}, Dropped::OutOfRange};
     message.zone = static_cast<int>(wire.zone()) - 1;
     message.kind = static_cast<Kind>(kind);
@@ -59,7 +65,7 @@
         one.who = static_cast<Number>(w.who(i));
         one.member_state.life = wire.life() + static_cast<Life>(w.lives(i));
         if (w.who(i) >= count || !good_life(one.member_state.life) ||
-            !read_word(w.words(i), one.member_state))
+            !read_status_word(w.words(i), one.member_state))
             return {{}, Dropped::OutOfRange};
         message.accounts.push_back(one);
     }
@@ -79,6 +85,7 @@
     message.hashes.assign(w.hashes().begin(), w.hashes().end());
     if (message.hashes.size() * block > count + block - 1) return {{}, Dropped::OutOfRange};
     message.payload = std::move(*wire.mutable_payload());
+    if (!read_transfer(wire, message, count, latest)) return {{}, Dropped::OutOfRange};
     return {std::move(message), Dropped::Last};
 }
 
@@ -87,7 +94,7 @@
     wire.set_format(format);
     wire.set_from(static_cast<std::uint32_t>(message.from));
     wire.set_life(message.self.life);
-    wire.set_word(word_of(message.self));
+    wire.set_word(status_word(message.self));
     wire.set_zone(static_cast<std::uint32_t>(message.zone + 1));
     wire.set_kind(static_cast<wire::Kind>(message.kind));
     wire.set_probe(message.probe);
@@ -97,7 +104,7 @@
     for (auto& one : message.accounts) {
         wire.add_who(static_cast<std::uint32_t>(one.who));
         wire.add_lives(static_cast<std::int64_t>(one.member_state.life - message.self.life));
-        wire.add_words(word_of(one.member_state));
+        wire.add_words(status_word(one.member_state));
     }
     for (auto& one : message.accusations) {
         wire.add_accused(static_cast<std::uint32_t>(one.accused));
@@ -112,6 +119,10 @@
     wire.set_first(static_cast<std::uint32_t>(message.first));
     for (auto hash : message.hashes) wire.add_hashes(hash);
     if (!message.payload.empty()) wire.set_payload(message.payload);
+    wire.set_range_members(static_cast<std::uint32_t>(message.range_members));
+    wire.set_pages(static_cast<std::uint32_t>(message.pages));
+    wire.set_complete(message.complete);
+    if (message.page) wire.set_page(pack(*message.page));
     return wire.SerializeAsString();
 }
 
--- a/src/peers/message.hpp
+++ b/src/peers/message.hpp
@@ -8,21 +8,20 @@
 #include <string_view>
 #include <vector>
 
-#include "peers/member_state.hpp"
+#include "peers/account.hpp"
+#include "peers/snapshot_page.hpp"
 
 namespace quillgrade::peers {
 
 inline constexpr std::size_t longest = 256;  // bytes of a datagram, by the platform's protocol
-inline constexpr int most_routers = 4096;
-inline constexpr int block = 16;  // routers a hash of a digest covers
+inline constexpr int most_pages = 4;         // that one request may ask for
+inline constexpr int block = 16;             // routers a hash of a digest covers
 
-enum class Kind { Ping = 1, Heard, Ask, No, Digest, News };
+enum class Kind { Ping = 1, Heard, Ask, No, Digest, News, RangeRequest, RangePage };
+
+// Kinds that only a tier with Rates::state_transfer knows.
+inline bool of_state_transfer(Kind kind) { return kind == Kind::RangeRequest || kind == Kind::RangePage; }
 
-struct Account {
-    Number who = 0;
-    MemberState member_state;
-    bool operator==(const Account&) const = default;
-};
 struct Accusation {
     Number accused = 0, accuser = 0;
     Micros age = 0;  // since the first accusation, at the time of sending
@@ -50,10 +49,15 @@
     Number first = 0;
     std::vector<std::uint32_t> hashes;
     std::string payload;  // of the piggyback, not looked into here
+    // RangeRequest: up to `pages` pages of the members from `first` on, `range_members` of them.
+    int range_members = 0, pages = 0;
+    // RangePage. Without a page: the sender has no bytes to spare for one.
+    std::optional<SnapshotPage> page;
+    bool complete = false;  // the sender's own transfer has finished: it knows nothing of members left out
 };
 
 // Why a datagram was dropped; counted by place.
-enum class Dropped { TooLong, Malformed, Format, Source, OutOfRange, Last };
+enum class Dropped { TooLong, Malformed, Format, Source, OutOfRange, TransferOff, Last };
 
 struct Decoded {
     std::optional<Message> message;
--- a/tests/peers_test.cpp
+++ b/tests/peers_test.cpp
@@ -277,6 +277,12 @@
     REQUIRE(read.plan.peers);
     CHECK(read.plan.peers->period == 500 * ms);
     CHECK(read.plan.peers->bytes_per_s == 400);
+    CHECK(!read.plan.peers->state_transfer);
+    CHECK(operate::read(R"({"peers": {"state_transfer": true}})").plan.peers->state_transfer);
+    auto no_flag = operate::read(R"({"peers": {"state_transfer": "yes"}})");
+    REQUIRE(no_flag.faults.size() == 1);
+    CHECK(no_flag.faults[0].where == "peers.state_transfer");
+    CHECK(no_flag.faults[0].what == "true or false is expected, not \"yes\"");
     auto bad = operate::read(R"({"peers": {"period_ms": 5, "longest_ms": 300, "gap_ms": 900, "bites": 1}})");
     CHECK(bad.faults.size() == 4);
 }
@@ -293,4 +299,41 @@
     CHECK_THROWS_AS(with("", list), site::Unusable);
     CHECK_THROWS_AS(with("\"peers\":true,", ""), site::Unusable);
     CHECK_THROWS_AS(with("\"peers\":true,", list), site::Unusable);  // no number of its own
+    auto of_size = [](int count) {
+        std::string members = R"("peer_listen":"127.0.0.1:9","peers":[)";
+        for (int i = 0; i < count; i++)
+            members += (i ? ",\"127.0.0.1:" : "\"127.0.0.1:") + std::to_string(i + 1) + "\"";
+        return members + "],";
+    };
+    told.replace(told.find("\"balancers\""), 0, "\"index\":0,");
+    CHECK(most_routers == 8192);
+    CHECK_NOTHROW(with("\"peers\":true,", of_size(most_routers)));
+    CHECK_THROWS_AS(with("\"peers\":true,", of_size(most_routers + 1)), site::Unusable);
+}
+
+TEST_CASE("datagrams of a tier longer than the bound are dropped, and the largest number within it is read") {
+    auto message = a_message();
+    message.from = most_routers - 1;
+    message.accounts[0].who = most_routers - 2;
+    auto read = decode(encode(message), most_routers, noon_at);
+    REQUIRE(read.message);
+    CHECK(read.message->from == most_routers - 1);
+    CHECK(read.message->accounts[0].who == most_routers - 2);
+    CHECK(decode(encode(message), most_routers + 1, noon_at).why == Dropped::OutOfRange);
+    CHECK(decode(encode(message), most_routers - 1, noon_at).why == Dropped::OutOfRange);
+}
+
+TEST_CASE("kinds of a state transfer are dropped and counted where it is off") {
+    auto membership = a_circle();
+    Message request;
+    request.from = 1;
+    request.self = {500, Phase::Here, 0, Verdict::Alive, false};
+    request.kind = Kind::RangeRequest;
+    membership.hear(1, encode(request), noon_at);
+    request.kind = Kind::RangePage;
+    membership.hear(1, encode(request), noon_at);
+    CHECK(membership.figures().dropped[static_cast<std::size_t>(Dropped::TransferOff)] == 2);
+    CHECK(membership.figures().heard == 0);
+    CHECK(membership.state(1) == State::Unknown);
+    CHECK(membership.outgoing().empty());
 }
