--- a/src/node/peer_port.cpp
+++ b/src/node/peer_port.cpp
@@ -133,9 +133,24 @@
     for (auto& one : view.heard_of())
         log::info("peers: {} {} {}", one.listener, one.cut ? "does not hear" : "hears again", one.speaker);
     for (auto& one : view.health()) log::info("peers: {} is {}", one.who, one.ill ? "ill" : "well");
+    say_transferred(now);
     say_dropped(now);
 }
 
+void PeerPort::say_transferred(Micros now) {
+    bool transfers = view.transferring();
+    if (transfers == transferring) return;
+    transferring = transfers;
+    auto& seen = view.figures();
+    if (transfers) {
+        transfer_began = now;
+        pages_before = seen.pages_taken;
+        return;
+    }
+    log::info("peers: state transfer ended after {:.1f} s, {} pages",
+              static_cast<double>(now - transfer_began) / 1e6, seen.pages_taken - pages_before);
+}
+
 void PeerPort::say_dropped(Micros now) {
     if (now < say_at) return;
     say_at = now + say_every;
--- a/src/node/peer_port.hpp
+++ b/src/node/peer_port.hpp
@@ -36,6 +36,7 @@
 private:
     void readable();
     void send_and_say(Micros now);
+    void say_transferred(Micros now);
     void say_dropped(Micros now);
 
     std::vector<feed::Address> addresses;
@@ -48,6 +49,9 @@
     Timer wake;
     std::uint64_t said_dropped = 0;
     Micros say_at = 0;
+    bool transferring = false;
+    Micros transfer_began = 0;
+    std::uint64_t pages_before = 0;
 };
 
 }  // namespace quillgrade::node
--- a/src/peers/membership.cpp
+++ b/src/peers/membership.cpp
@@ -1,7 +1,5 @@
 #include "peers/membership.hpp"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <boost/random/uniform_int_distribution.hpp>
 #include <cmath>
@@ -12,19 +10,19 @@
 namespace {
 
 constexpr Micros ms = 1000;
-constexpr int most_indirect_probes = 32, most_again = 2, most_probes = 8, most_hashes = 48, most_told = 20;
+constexpr int most_indirect_probes = 32, most_again = 2, most_probes = 8;
 constexpr std::size_t most_forced = 3;  // accounts that are told whatever they cost
 constexpr std::uint32_t most_incarnation = (1u << 27) - 1;
 constexpr std::size_t most_changes = 10'000;
 constexpr std::size_t least_payload = 12, payload_tag = 4;  // bytes worth loading; field, length
 constexpr double own_datagram = 110;  // bytes that one for the passenger's sake needs at least
 
-std::uint32_t hash_of(const MemberState& s, Number who, std::uint32_t so_far) {
-    std::uint64_t words[2] = {s.life, (static_cast<std::uint64_t>(who) << 48) |
-                                          (static_cast<std::uint64_t>(s.incarnation) << 8) |
-                                          (s.ill ? 64u : 0u) | static_cast<unsigned>(s.verdict) * 4u |
-                                          static_cast<unsigned>(s.phase)};
-    return XXH32(words, sizeof words, so_far);
+// With state transfer on, what all send in one burst has to leave room for pages in what one of them takes
+// in.
+ByteBudget budget_of(const Rates& rates, Micros now) {
+    constexpr double burst_seconds = 1;
+    if (!rates.state_transfer) return {rates.bytes_per_s, now};
+    return {rates.bytes_per_s, now, rates.bytes_per_s * burst_seconds};
 }
 
 }  // namespace
@@ -78,10 +76,16 @@
       reachability(start.self),
       gossip(start.routers),
       local_health(start.rates.gap, start.now),
-      byte_budget(start.rates.bytes_per_s, start.now),
+      byte_budget(budget_of(start.rates, start.now)),
       chance(static_cast<std::uint32_t>(start.seed ^ (start.seed >> 32) ^ start.life)),
       digest_at(start.now),
       unlike(8) {
+    if (rates.state_transfer) {
+        transfer.emplace(number, start.routers, static_cast<std::uint32_t>(start.seed ^ start.life),
+                         start.now);
+        page_server.emplace(rates.bytes_per_s, start.now);
+        unlike = 0;
+    }
     auto& mine = at(number);
     mine.member_state = me;
     mine.state = State::Alive;
@@ -94,6 +98,7 @@
 
 void Membership::hear(Number from, std::string_view datagram, Micros now) {
     arrive(now);
+    if (transfer) transfer->received(datagram.size(), now);
     if (from < 0) {
         seen.dropped[static_cast<std::size_t>(Dropped::Source)]++;
         return;
@@ -132,6 +137,8 @@
     local_health.worse();
     // Its own slowness is no miss of others either.
     last_slot = probe_schedule.slot(now);
+    // What was told meanwhile has been told often enough for others.
+    if (transfer && away >= rates.longest) transfer->begin_after_pause(now);
     say_anew(true);
     tell_some(3, now);
 }
@@ -146,7 +153,7 @@
 // the rest.
 void Membership::pass_on(Micros now) {
     if (!std::exchange(fresh, false)) return;
-    if (byte_budget.left(now) > rates.bytes_per_s * kept_back(SendPriority::Spare)) tell_some(3, now);
+    if (bytes_left(now) > rates.bytes_per_s * kept_back(SendPriority::Spare)) tell_some(3, now);
 }
 
 // Word to some at once that would else wait for the next probe.
@@ -206,18 +213,20 @@
         case Kind::Digest:
             return compare(message, now);
         case Kind::News:
+            return;
         case Kind::RangeRequest:
+            return answer_range_request(message, now);
         case Kind::RangePage:
-            return;
+            return take_page(message, now);
     }
 }
 
-void Membership::take(const Account& account, Number by, Micros now) {
+void Membership::take(const Account& account, Number by, Micros now, Spread spreading) {
     if (account.who == number) return about_me(account.member_state);
     auto& member = at(account.who);
     auto joined = join(member.member_state, account.member_state);
     if (joined == member.member_state) {
-        if (by == account.who) return;
+        if (by == account.who || spreading == Spread::No) return;
         if (account.member_state == joined)
             gossip.heard_again(account.who);
         else
@@ -235,7 +244,7 @@
     // Who accuses follows in the same datagram; a teller alone is no accuser.
     if (joined.verdict == Verdict::Suspected && !suspicions.find(account.who))
         suspicions.accuse(account.who, -1, 0, now);
-    spread(account.who, before.life != 0);
+    if (spreading == Spread::Yes) spread(account.who, before.life != 0);
     note(account.who, by, now);
 }
 
@@ -277,7 +286,7 @@
     if (routers() > 1 && slot > last_slot) {
         // In doubt of itself a router asks more rarely.
         auto target = probe_schedule.target(slot);
-        if (slot % local_health.stretch() == 0) probe(target, now);
+        if (slot % local_health.stretch() == 0 && !awaits_account(target)) probe(target, now);
         last_slot = slot;
     }
     for (std::size_t i = 0; i < probes.size();) {
@@ -308,6 +317,7 @@
     judge(now);
     pass_on(now);
     if (now >= digest_at && routers() > 1) send_digest(now);
+    if (transfer) ask_for_ranges(now);
     if (now >= expire_at) {
         reachability.expire(now);
         expire_at = now + 1000 * ms;
@@ -321,6 +331,7 @@
     for (auto& one : probes) at = std::min(at, one.passed_on ? one.end : std::min(one.step_at, one.end));
     for (auto& one : indirect_probes)
         if (!one.said_no) at = std::min(at, one.say_no_at);
+    if (transfer) at = std::min(at, transfer->due());
     return at;
 }
 
@@ -338,6 +349,12 @@
     if (reachability.cut(number, target) || reachability.cut(target, number)) step(probes.back(), now);
 }
 
+// While all accounts are fetched, those of whom there is none yet are not probed: the answers, full of news,
+// would take the bytes of pages.
+bool Membership::awaits_account(Number who) const {
+    return transferring() && at(who).state == State::Unknown;
+}
+
 // Whether it is worth more than one ping, and an accusation: it is not given up, nor has it gone.
 bool Membership::thought_there(Number who) const {
     auto state = at(who).state;
@@ -545,7 +562,7 @@
         Message ping;
         ping.kind = Kind::Ping;
         suspicions.called(who);
-        send(who, ping, SendPriority::News, now);
+        if (asks_accused()) send(who, ping, SendPriority::News, now);
         for (auto other : pick(2, who))
             send(other, ping, SendPriority::News, now, {{who, at(who).member_state}});
     }
@@ -558,6 +575,16 @@
     }
 }
 
+// Guards against an accused router that all others ping at the same moment: at 3,000 routers it was sent 185
+// KB within two seconds, and can answer a small part of them. With state transfer on, about as many do as can
+// be answered at once; all still tell two others.
+bool Membership::asks_accused() {
+    constexpr int enough_askers = 8;
+    if (!rates.state_transfer || routers() <= enough_askers) return true;
+    boost::random::uniform_int_distribution<int> draw(0, routers() - 1);
+    return draw(chance) < enough_askers;
+}
+
 State Membership::worked_out(Number who) const {
     auto& s = at(who).member_state;
     if (s.life == 0) return State::Unknown;
@@ -583,66 +610,12 @@
     note(speaker, by, now);
 }
 
-// ---- the slow exchange
-
-void Membership::send_digest(Micros now) {
-    bool soon = unlike > 0;
-    if (unlike > 0) unlike--;
-    digest_at = now + rates.period * (soon ? 2 : 10);
-    if (byte_budget.left(now) < rates.bytes_per_s) return;
-    auto to = pick(1, -1);
-    if (to.empty()) return;
-    Message digest;
-    digest.kind = Kind::Digest;
-    digest.first = window;
-    auto blocks = (routers() + block - 1) / block;
-    for (int i = 0; i < std::min(blocks, most_hashes); i++) {
-        std::uint32_t hash = 0;
-        for (int step = 0; step < block; step++) {
-            auto who = (window + i * block + step) % routers();
-            hash = hash_of(at(who).member_state, who, hash);
-        }
-        digest.hashes.push_back(hash);
-    }
-    if (blocks > most_hashes) window = (window + most_hashes * block) % routers();
-    send(to[0], digest, SendPriority::Spare, now);
-}
-
-void Membership::compare(const Message& digest, Micros now) {
-    std::vector<Account> unlike_here;
-    for (std::size_t i = 0; i < digest.hashes.size(); i++) {
-        std::uint32_t hash = 0;
-        std::vector<Account> accounts;
-        for (int step = 0; step < block; step++) {
-            auto who = (digest.first + static_cast<int>(i) * block + step) % routers();
-            auto& member_state = at(who).member_state;
-            hash = hash_of(member_state, who, hash);
-            if (member_state.life > 0 && who != digest.from) accounts.push_back({who, member_state});
-        }
-        if (hash != digest.hashes[i]) unlike_here.insert(unlike_here.end(), accounts.begin(), accounts.end());
-    }
-    // What has changed last here is the likeliest to be unknown there.
-    std::stable_sort(unlike_here.begin(), unlike_here.end(),
-                     [this](auto& a, auto& b) { return at(a.who).changed > at(b.who).changed; });
-    if (unlike_here.empty()) return;
-    unlike = std::min(unlike + 1, 4);
-    Message news;
-    news.kind = Kind::News;
-    // The other half of the room goes by chance, so that none is left out for good.
-    for (std::size_t i = most_told / 2; i < std::min<std::size_t>(most_told, unlike_here.size()); i++) {
-        boost::random::uniform_int_distribution<std::size_t> draw(i, unlike_here.size() - 1);
-        std::swap(unlike_here[i], unlike_here[draw(chance)]);
-    }
-    if (unlike_here.size() > most_told) unlike_here.resize(most_told);
-    send(digest.from, news, SendPriority::Spare, now, unlike_here);
-}
-
 // ---- sending
 
 // What is left of the datagram carries news: first what is held against the receiver, so that it can answer.
 bool Membership::send(Number to, Message message, SendPriority priority, Micros now,
                       const std::vector<Account>& first, bool for_piggyback) {
-    auto left = byte_budget.left(now) / rates.bytes_per_s;
+    auto left = bytes_left(now) / rates.bytes_per_s;
     // Guards against probes that use up all bytes where nobody is heard, so that others never hear what this
     // router alone was told.
     auto saved_up = piggyback_waits && !for_piggyback && priority >= SendPriority::Insist
@@ -721,11 +694,15 @@
         seen.payload_bytes += message.payload.size();
         if (!message.payload.empty()) bytes = encode(message);
     }
-    byte_budget.spend(bytes.size());
+    spend(bytes.size());
+    hand_out(to, std::move(bytes));
+    return true;
+}
+
+void Membership::hand_out(Number to, std::string bytes) {
     seen.sent++;
     seen.bytes_sent += bytes.size();
     out.push_back({to, std::move(bytes)});
-    return true;
 }
 
 bool Membership::tell(Number to, bool urgent, Micros now) {
@@ -733,7 +710,7 @@
     news.kind = Kind::News;
     auto need = urgent ? SendPriority::IndirectProbe : SendPriority::Spare;
     // Guards against datagrams that have no room for what they are sent for.
-    bool enough = byte_budget.left(now) - kept_back(need) * rates.bytes_per_s >= own_datagram;
+    bool enough = bytes_left(now) - kept_back(need) * rates.bytes_per_s >= own_datagram;
     if (!enough) return false;
     return send(to, news, need, now, {}, true);
 }
@@ -754,8 +731,18 @@
     return sent;
 }
 
+double Membership::bytes_left(Micros now) {
+    auto own = byte_budget.left(now);
+    return page_server ? std::min(own, page_server->left(now)) : own;
+}
+
+void Membership::spend(std::size_t bytes) {
+    byte_budget.spend(bytes);
+    if (page_server) page_server->spend_own(bytes);
+}
+
 double Membership::spare(Micros now) {
-    return std::max(0.0, byte_budget.left(now) - kept_back(SendPriority::Spare) * rates.bytes_per_s);
+    return std::max(0.0, bytes_left(now) - kept_back(SendPriority::Spare) * rates.bytes_per_s);
 }
 
 // ---- what the router says of itself
@@ -833,7 +820,8 @@
 
 std::size_t Membership::bytes_held() const {
     auto one = sizeof(Member) + sizeof(std::uint16_t) + sizeof(Number) + 8;
-    return sizeof *this + members.size() * one + suspicions.all().size() * (sizeof(Suspicion) + 64);
+    return sizeof *this + members.size() * one + suspicions.all().size() * (sizeof(Suspicion) + 64) +
+           (transfer ? transfer->bytes_held() : 0);
 }
 
 }  // namespace quillgrade::peers
--- a/src/peers/membership.hpp
+++ b/src/peers/membership.hpp
@@ -35,8 +35,10 @@
 #include "peers/local_health.hpp"
 #include "peers/member_state.hpp"
 #include "peers/message.hpp"
+#include "peers/page_server.hpp"
 #include "peers/probe_schedule.hpp"
 #include "peers/reachability.hpp"
+#include "peers/state_transfer.hpp"
 #include "peers/suspicion.hpp"
 
 namespace quillgrade::peers {
@@ -126,6 +128,8 @@
     std::uint64_t payload_bytes = 0;
     std::uint64_t sent = 0, bytes_sent = 0, heard = 0, held_back = 0, away = 0, refuted = 0, accused = 0;
     std::array<std::uint64_t, static_cast<std::size_t>(Dropped::Last)> dropped{};
+    // Of state transfer.
+    std::uint64_t range_requests = 0, pages_taken = 0, pages_unasked = 0, pages_sent = 0, requests_shed = 0;
 };
 
 class Membership {
@@ -172,6 +176,9 @@
     const Figures& figures() const { return seen; }
     int routers() const { return static_cast<int>(members.size()); }
     std::size_t bytes_held() const;
+    // It has started, or was away for long, and still fetches the accounts of the others. Never without
+    // Rates::state_transfer.
+    bool transferring() const;
 
 private:
     struct Member {
@@ -202,10 +209,13 @@
 
     void arrive(Micros now);
     void take(const Message& message, Micros now);
-    void take(const Account& account, Number by, Micros now);
+    // Whether what is new here is told to others by gossip.
+    enum class Spread { Yes, No };
+    void take(const Account& account, Number by, Micros now, Spread spreading = Spread::Yes);
     void about_me(const MemberState& told);
     void accuse(Number who, Number accuser, Micros age, Micros now);
     void judge(Micros now);
+    bool asks_accused();
     void note(Number who, Number by, Micros now);
     void note_cut(Number speaker, Number listener, bool cut, Number by, Micros now);
     State worked_out(Number who) const;
@@ -219,8 +229,23 @@
     void answered(const Message& heard, Micros now);
     void probe_for_another(const Message& ask, Micros now);
     void compare(const Message& digest, Micros now);
+    bool knows_all(Micros now) const;
+    void fetch_blocks(const std::vector<Number>& starts, Number from, Micros now);
+    void ask_for_ranges(Micros now);
+    HelperRank rank_as_helper(Number who) const;
+    void take_page(const Message& message, Micros now);
+    bool worsens(const Account& account) const;
+    void answer_range_request(const Message& request, Micros now);
+    Message page_from(Number first, Number end, Micros now) const;
+    bool send_as_helper(Number to, const Message& message, Micros now);
+    void say_busy(Number to, Micros now);
+    bool send_alone(Number to, Message message, SendPriority priority, Micros now);
+    void hand_out(Number to, std::string bytes);
+    double bytes_left(Micros now);
+    void spend(std::size_t bytes);
 
     void probe(Number target, Micros now);
+    bool awaits_account(Number who) const;
     bool thought_there(Number who) const;
     void step(Probe& probe, Micros now);
     void end_probe(const Probe& probe, Micros now);
@@ -243,6 +268,8 @@
     GossipQueue gossip;
     LocalHealth local_health;
     ByteBudget byte_budget;
+    std::optional<StateTransfer> transfer;  // only with Rates::state_transfer, as the next
+    std::optional<PageServer> page_server;
     boost::random::taus88 chance;
     std::vector<Probe> probes;
     std::vector<IndirectProbe> indirect_probes;
--- /dev/null
+++ b/src/peers/membership_anti_entropy.cpp
@@ -0,0 +1,216 @@
+// The parts of a Membership that find and mend differences in bulk: digests by ranges of members, and state
+// transfer. What is new and small goes by gossip (membership.cpp).
+#include <xxhash.h>
+
+#include <algorithm>
+#include <boost/random/uniform_int_distribution.hpp>
+
+#include "peers/membership.hpp"
+
+namespace quillgrade::peers {
+
+namespace {
+
+constexpr int most_hashes = 48;      // of a digest, so that it fits into a datagram with its head
+constexpr int most_told = 20;        // accounts that fit into the answer to a digest
+constexpr int least_to_fetch = 4;    // blocks that differ; fewer are told in one answer
+constexpr std::size_t page_tag = 4;  // bytes of a page's field number and length
+
+std::uint32_t hash_of(const MemberState& s, Number who, std::uint32_t so_far) {
+    std::uint64_t words[2] = {s.life, (static_cast<std::uint64_t>(who) << 48) |
+                                          (static_cast<std::uint64_t>(s.incarnation) << 8) |
+                                          (s.ill ? 64u : 0u) | static_cast<unsigned>(s.verdict) * 4u |
+                                          static_cast<unsigned>(s.phase)};
+    return XXH32(words, sizeof words, so_far);
+}
+
+}  // namespace
+
+// ---- digests
+
+void Membership::send_digest(Micros now) {
+    bool soon = unlike > 0;
+    if (unlike > 0) unlike--;
+    digest_at = now + rates.period * (soon ? 2 : 10);
+    // All would differ, and the answers say less than pages do.
+    if (transferring()) return;
+    // Without state transfer a second's worth has to be there, of two; with it no more than one is saved up.
+    auto enough = transfer ? kept_back(SendPriority::Spare) * rates.bytes_per_s : rates.bytes_per_s;
+    if (bytes_left(now) < enough) return;
+    auto to = pick(1, -1);
+    if (to.empty()) return;
+    Message digest;
+    digest.kind = Kind::Digest;
+    digest.first = window;
+    auto blocks = (routers() + block - 1) / block;
+    for (int i = 0; i < std::min(blocks, most_hashes); i++) {
+        std::uint32_t hash = 0;
+        for (int step = 0; step < block; step++) {
+            auto who = (window + i * block + step) % routers();
+            hash = hash_of(at(who).member_state, who, hash);
+        }
+        digest.hashes.push_back(hash);
+    }
+    if (blocks > most_hashes) window = (window + most_hashes * block) % routers();
+    send(to[0], digest, SendPriority::Spare, now);
+}
+
+void Membership::compare(const Message& digest, Micros now) {
+    if (transferring()) return;
+    std::vector<Account> unlike_here;
+    std::vector<Number> unlike_blocks;
+    for (std::size_t i = 0; i < digest.hashes.size(); i++) {
+        std::uint32_t hash = 0;
+        std::vector<Account> accounts;
+        auto block_start = (digest.first + static_cast<int>(i) * block) % routers();
+        for (int step = 0; step < block; step++) {
+            auto who = (block_start + step) % routers();
+            auto& member_state = at(who).member_state;
+            hash = hash_of(member_state, who, hash);
+            if (member_state.life > 0 && who != digest.from) accounts.push_back({who, member_state});
+        }
+        if (hash == digest.hashes[i]) continue;
+        unlike_blocks.push_back(block_start);
+        unlike_here.insert(unlike_here.end(), accounts.begin(), accounts.end());
+    }
+    if (transfer) fetch_blocks(unlike_blocks, digest.from, now);
+    // What has changed last here is the likeliest to be unknown there.
+    std::stable_sort(unlike_here.begin(), unlike_here.end(),
+                     [this](auto& a, auto& b) { return at(a.who).changed > at(b.who).changed; });
+    if (unlike_here.empty()) return;
+    unlike = std::min(unlike + 1, 4);
+    Message news;
+    news.kind = Kind::News;
+    // The other half of the room goes by chance, so that none is left out for good.
+    for (std::size_t i = most_told / 2; i < std::min<std::size_t>(most_told, unlike_here.size()); i++) {
+        boost::random::uniform_int_distribution<std::size_t> draw(i, unlike_here.size() - 1);
+        std::swap(unlike_here[i], unlike_here[draw(chance)]);
+    }
+    if (unlike_here.size() > most_told) unlike_here.resize(most_told);
+    send(digest.from, news, SendPriority::Spare, now, unlike_here);
+}
+
+// ---- state transfer, as the one who asks
+
+bool Membership::transferring() const {
+    return transfer && transfer->phase() == StateTransfer::Phase::Running;
+}
+
+// Whether members that this router has no account of are unknown to the others too, as far as it can tell.
+bool Membership::knows_all(Micros now) const {
+    return transfer->phase() == StateTransfer::Phase::Complete && now - heard_any <= rates.longest;
+}
+
+// Where many blocks differ from somebody else's, as after a partition, gossip would take long.
+void Membership::fetch_blocks(const std::vector<Number>& starts, Number from, Micros now) {
+    if (static_cast<int>(starts.size()) < least_to_fetch) return;
+    for (auto start : starts) transfer->refresh(start, std::min(block, routers() - start), from, now);
+}
+
+void Membership::ask_for_ranges(Micros now) {
+    transfer->expire(now);
+    bool heard_lately = now - heard_any <= rates.period * 3;
+    if (transfer->phase() == StateTransfer::Phase::Failed && heard_lately) transfer->begin(now);
+    auto rank = [this](Number who) { return rank_as_helper(who); };
+    while (auto wanted = transfer->next(rank, now)) {
+        Message request;
+        request.kind = Kind::RangeRequest;
+        request.first = wanted->first;
+        request.range_members = wanted->members;
+        request.pages = wanted->pages;
+        if (send_alone(wanted->helper, std::move(request), SendPriority::Answer, now)) seen.range_requests++;
+    }
+}
+
+HelperRank Membership::rank_as_helper(Number who) const {
+    auto state = at(who).state;
+    if (state == State::Unknown) return HelperRank::Fit;
+    if (state != State::Alive || reachability.cut(number, who)) return HelperRank::Unfit;
+    return zone >= 0 && at(who).zone == zone ? HelperRank::Near : HelperRank::Fit;
+}
+
+void Membership::take_page(const Message& message, Micros now) {
+    if (!message.page) return transfer->take_busy(message.from, now);
+    // Guards against pages that nobody asked for, and those that were on their way for too long.
+    if (!transfer->expects(message.from, *message.page, now)) {
+        seen.pages_unasked++;
+        return;
+    }
+    seen.pages_taken++;
+    for (auto& account : message.page->accounts)
+        if (!worsens(account)) take(account, message.from, now, Spread::No);
+    transfer->take(message.from, *message.page, message.complete, now);
+}
+
+// Guards against a wave of verdicts after a partition: each side has given up all of the other, and a page of
+// them would make the living dead at once to those who know better. A verdict on somebody alive here only
+// comes by gossip, with its accuser, or from what this router asks itself.
+bool Membership::worsens(const Account& account) const {
+    auto& known = at(account.who).member_state;
+    auto& told = account.member_state;
+    return account.who != number && known.life == told.life && known.incarnation == told.incarnation &&
+           known.phase == told.phase && known.verdict < told.verdict;
+}
+
+// ---- state transfer, as a helper
+
+void Membership::answer_range_request(const Message& request, Micros now) {
+    auto first = request.first, end = request.first + request.range_members;
+    for (int i = 0; i < request.pages && first < end; i++) {
+        auto answer = page_from(first, end, now);
+        if (!answer.page) return;
+        if (!send_as_helper(request.from, answer, now)) {
+            if (i == 0) say_busy(request.from, now);
+            return;
+        }
+        seen.pages_sent++;
+        first = answer.page->end();
+    }
+}
+
+Message Membership::page_from(Number first, Number end, Micros now) const {
+    Message message;
+    message.from = number;
+    message.self = me;
+    message.zone = zone;
+    message.kind = Kind::RangePage;
+    message.complete = knows_all(now);
+    std::vector<MemberState> states;
+    for (Number who = first; who < std::min(end, first + most_page_members); who++)
+        states.push_back(at(who).member_state);
+    message.page = largest_page(first, states, longest - encode(message).size() - page_tag);
+    return message;
+}
+
+bool Membership::send_as_helper(Number to, const Message& message, Micros now) {
+    auto bytes = encode(message);
+    if (!page_server->allows(bytes.size(), now)) return false;
+    page_server->spend_page(bytes.size());
+    hand_out(to, std::move(bytes));
+    return true;
+}
+
+// Cheaper for the one who asks than a time that runs out.
+void Membership::say_busy(Number to, Micros now) {
+    seen.requests_shed++;
+    Message busy;
+    busy.kind = Kind::RangePage;
+    send_alone(to, std::move(busy), SendPriority::News, now);
+}
+
+// Without news: they would take the receiver's bytes for pages.
+bool Membership::send_alone(Number to, Message message, SendPriority priority, Micros now) {
+    if (bytes_left(now) <= kept_back(priority) * rates.bytes_per_s) {
+        seen.held_back++;
+        return false;
+    }
+    message.from = number;
+    message.self = me;
+    message.zone = zone;
+    auto bytes = encode(message);
+    spend(bytes.size());
+    hand_out(to, std::move(bytes));
+    return true;
+}
+
+}  // namespace quillgrade::peers
--- a/src/rig/simulated.hpp
+++ b/src/rig/simulated.hpp
@@ -1,6 +1,7 @@
-// Many routers' circles in simulated time, in one process: a network that loses, delays, doubles and reorders
-// datagrams and cuts ordered pairs, and routers that are killed, started again, stopped and continued. The
-// same seed gives the same run. `Protocol` is peers::Membership, or a baseline with the same calls.
+// Many routers' memberships in simulated time, in one process: a network that loses, delays, doubles and
+// reorders datagrams and cuts ordered pairs, and routers that are killed, started again, stopped and
+// continued. The same seed gives the same run. `Protocol` is peers::Membership, or a baseline with the same
+// calls.
 #pragma once
 
 #include <algorithm>
@@ -62,7 +63,8 @@
         start.self = who;
         start.routers = count();
         start.zone = who % zones;
-        start.life = static_cast<peers::Life>(clock(who) / 1000);
+        auto ran = one.starts == 1 && running_for ? running_for(who) : 0;
+        start.life = static_cast<peers::Life>((clock(who) - ran) / 1000);
         start.seed = seed * 1'000'003 + static_cast<std::uint64_t>(who * 1000 + one.starts);
         start.now = clock(who);
         start.rates = rates;
@@ -128,6 +130,10 @@
 
     std::function<void(int observer, const peers::Change&)> on_change;
     std::function<void(int from, int to, const std::string&)> on_send;
+    std::function<void(int from, int to, const std::string&)> on_deliver;
+    // How long a router is taken to have been running at its first start here: lives are apart so, as they
+    // are in a tier that was not started at once.
+    std::function<Micros(int who)> running_for;
     Weather weather;
 
 private:
@@ -150,6 +156,11 @@
         to.away += from.away;
         to.refuted += from.refuted;
         to.accused += from.accused;
+        to.range_requests += from.range_requests;
+        to.pages_taken += from.pages_taken;
+        to.pages_unasked += from.pages_unasked;
+        to.pages_sent += from.pages_sent;
+        to.requests_shed += from.requests_shed;
     }
     Router& router(int who) { return routers[static_cast<std::size_t>(who)]; }
     double unit() { return boost::random::uniform_01<double>()(chance); }
@@ -163,6 +174,7 @@
         auto& one = router(to);
         if (!one.protocol) return;
         delivered++;
+        if (on_deliver) on_deliver(from, to, datagram);
         one.waiting.emplace_back(from, datagram);
         if (!one.stopped) run(to, false);
     }
--- a/tests/flaws/peers_flaws.cpp
+++ b/tests/flaws/peers_flaws.cpp
@@ -6,6 +6,7 @@
 
 #include <map>
 
+#include "flaws/transfer_scenarios.hpp"
 #include "rig/simulated.hpp"
 
 using namespace quillgrade;
@@ -292,6 +293,35 @@
     {"a storm of pings does not raise what is sent", storm_is_bounded, {Flaw::NoByteBudget}},
     {"a router that was stopped asks before it judges", asks_before_judging, {Flaw::AskedNotBefore}},
     {"a router whose clock was set back at its start is there", clock_set_back, {Flaw::LifeNotRaised}},
+    // Of state transfer; state_transfer_test.cpp plays all of its scenarios on the shipped modules.
+    {"a page never brings back an earlier life",
+     transfer_scenarios::older_life_stays_older,
+     {Flaw::PageOverwrites}},
+    {"a page gives nobody up who is alive here",
+     transfer_scenarios::page_gives_nobody_up,
+     {Flaw::VerdictByPage}},
+    {"two helpers that know different members",
+     transfer_scenarios::helpers_that_differ,
+     {Flaw::NewHelperTrusted}},
+    {"a new helper says that it does not know all",
+     transfer_scenarios::new_helper_admits_it,
+     {Flaw::NewHelperClaimsAll}},
+    {"requests follow the bytes that come",
+     transfer_scenarios::requests_follow_bytes,
+     {Flaw::TransferUnpaced}},
+    {"requests in vain slow down", transfer_scenarios::requests_in_vain_slow_down, {Flaw::NoBackoff}},
+    {"a helper sheds what is beyond its bytes", transfer_scenarios::helper_sheds, {Flaw::HelperNeverSheds}},
+    {"a router that hears nothing gives up asking",
+     transfer_scenarios::lagging_gives_up,
+     {Flaw::TransferNeverEnds}},
+    {"pages that nobody asked for are not used",
+     transfer_scenarios::unasked_pages_unused,
+     {Flaw::UnaskedPagesUsed}},
+    {"pages a minute late are not used", transfer_scenarios::pages_of_earlier_lives, {Flaw::LatePagesUsed}},
+    {"a helper that was stopped for long says so",
+     transfer_scenarios::stopped_helper_admits_it,
+     {Flaw::PauseKeepsComplete}},
+    {"off means off", transfer_scenarios::off_means_off, {Flaw::PagesWhileOff}},
 };
 
 }  // namespace
--- a/tests/flaws/seam/peers/flaw.hpp
+++ b/tests/flaws/seam/peers/flaw.hpp
@@ -20,6 +20,19 @@
     NoByteBudget,     // bytes a second are not bounded
     AskedNotBefore,   // after a pause judges without asking
     LifeNotRaised,    // a new life that finds its number taken keeps it
+    // Of state transfer.
+    PageOverwrites,      // accounts of a page are taken as they are, not joined
+    VerdictByPage,       // a page gives up who is alive here
+    NewHelperTrusted,    // a helper that has not finished itself completes a range
+    NewHelperClaimsAll,  // a helper says that it knows all when it has just started
+    TransferUnpaced,     // pages are asked for whatever comes in
+    HelperNeverSheds,    // a helper answers all requests
+    NoBackoff,           // a request in vain is followed by the next at once
+    TransferNeverEnds,   // it asks on for what nobody tells
+    UnaskedPagesUsed,    // pages that were not asked for are used
+    LatePagesUsed,       // pages are used however late they come
+    PauseKeepsComplete,  // a router that was stopped for long takes itself to know all
+    PagesWhileOff,       // pages are used while state transfer is off
     Last
 };
 
--- /dev/null
+++ b/tests/state_transfer_test.cpp
@@ -0,0 +1,103 @@
+// State transfer: the scenarios, and the requester by itself. Which guards they need is in
+// flaws/peers_flaws.cpp.
+#include <doctest/doctest.h>
+
+#include "flaws/transfer_scenarios.hpp"
+
+using namespace quillgrade;
+using namespace quillgrade::peers;
+
+namespace {
+
+constexpr Micros ms = 1000, second = 1000 * ms, noon_at = 1'764'576'000 * second;
+
+using transfer_scenarios::all_fit;
+
+}  // namespace
+
+TEST_CASE("state transfer holds in each scenario") {
+    for (auto& one : transfer_scenarios::scenarios) {
+        SUBCASE(one.name) { CHECK(one.holds()); }
+    }
+}
+
+TEST_CASE("a page in another's name, or out of range, changes nothing") {
+    transfer_scenarios::Alone one(20);
+    auto asked = one.next_request();
+    REQUIRE(asked);
+    auto page = one.page(asked->first, {1, 19, {transfer_scenarios::Alone::account_of(8)}}, true);
+    auto other = asked->first == 4 ? 5 : 4;
+    one.membership->hear(other, encode(page), one.now);
+    one.membership->hear(-1, encode(page), one.now);
+    auto& dropped = one.membership->figures().dropped;
+    CHECK(dropped[static_cast<std::size_t>(Dropped::Source)] == 2);
+    page.page = SnapshotPage{10, 20, {}};
+    one.hear(page);
+    auto bytes = encode(one.page(asked->first, {1, 19, {}}, true));
+    one.membership->hear(asked->first, bytes.substr(0, bytes.size() - 4), one.now);
+    CHECK(dropped[static_cast<std::size_t>(Dropped::OutOfRange)] +
+              dropped[static_cast<std::size_t>(Dropped::Malformed)] ==
+          2);
+    CHECK(one.known(8).life == 0);
+    CHECK(one.membership->transferring());
+}
+
+TEST_CASE("several helpers are asked at a time, for different ranges, none of them twice") {
+    StateTransfer transfer(0, 5000, 1, noon_at);
+    std::vector<RangeRequest> asked;
+    for (auto now = noon_at; now < noon_at + 500 * ms; now += 10 * ms)
+        if (auto one = transfer.next(all_fit, now)) asked.push_back(*one);
+    REQUIRE(asked.size() >= 2);
+    CHECK(asked.size() <= 4);
+    for (std::size_t i = 1; i < asked.size(); i++) {
+        CHECK(asked[i].helper != asked[i - 1].helper);
+        CHECK(asked[i].first >= asked[i - 1].first + asked[i - 1].members);
+    }
+}
+
+TEST_CASE("a busy helper is followed by another one") {
+    StateTransfer transfer(0, 60, 1, noon_at);
+    auto first = transfer.next(all_fit, noon_at + 100 * ms);
+    REQUIRE(first);
+    transfer.take_busy(first->helper, noon_at + 120 * ms);
+    auto next = transfer.next(all_fit, noon_at + 400 * ms);
+    REQUIRE(next);
+    CHECK(next->first == first->first);
+}
+
+TEST_CASE("ranges that differ are fetched from whom they differ, not again at once") {
+    StateTransfer transfer(0, 100, 1, noon_at);
+    for (auto now = noon_at; transfer.phase() == StateTransfer::Phase::Running; now += 50 * ms)
+        if (auto one = transfer.next(all_fit, now))
+            transfer.take(one->helper, {one->first, one->members, {}}, true, now);
+    auto now = noon_at + 10 * second;
+    transfer.refresh(32, 16, 77, now);
+    transfer.refresh(64, 16, 77, now);
+    CHECK(transfer.missing() == 32);
+    auto one = transfer.next(all_fit, now);
+    REQUIRE(one);
+    CHECK(one->helper == 77);
+    CHECK(one->first == 32);
+    CHECK(one->members == 16);
+    transfer.take(77, {32, 16, {}}, true, now);
+    transfer.refresh(32, 16, 77, now + second);
+    CHECK(transfer.missing() == 16);
+    CHECK(transfer.phase() == StateTransfer::Phase::Complete);
+}
+
+TEST_CASE("memory stays within 64 bytes a router and some KB, and grows with nothing that comes") {
+    transfer_scenarios::Tier tier(200, 61);
+    tier.settle();
+    auto before = tier.sim.protocol(9)->bytes_held();
+    Start start;
+    start.routers = 8192;
+    start.now = noon_at;
+    start.rates = transfer_scenarios::rates_with_transfer();
+    Membership on(start);
+    start.rates.state_transfer = false;
+    Membership off(start);
+    CHECK(on.bytes_held() - off.bytes_held() < 16'384);
+    for (auto& page : tier.pages) tier.sim.protocol(9)->hear(page.from, page.bytes, tier.sim.clock(9));
+    tier.run(5 * second);
+    CHECK(tier.sim.protocol(9)->bytes_held() < before + 4096);
+}
