--- a/tests/peers_test.cpp
+++ b/tests/peers_test.cpp
@@ -329,7 +329,10 @@
     request.from = 1;
     request.self = {500, Phase::Here, 0, Verdict::Alive, false};
     request.kind = Kind::RangeRequest;
+    request.range_members = 4;
+    request.pages = 1;
     membership.hear(1, encode(request), noon_at);
+    request.range_members = request.pages = 0;
     request.kind = Kind::RangePage;
     membership.hear(1, encode(request), noon_at);
     CHECK(membership.figures().dropped[static_cast<std::size_t>(Dropped::TransferOff)] == 2);
