Keep hollow workers and control machines alive where a far side closes while it is written to

Cause: the child processes did not ignore SIGPIPE; at 2,000 hollow routers a control machine ended when routers moved to it from a lost one.

--- a/src/rig/hollow/control_machine.cpp
+++ b/src/rig/hollow/control_machine.cpp
@@ -158,7 +158,7 @@
 void ControlMachine::beat() {
     auto frame = frame_of(0, Heartbeat, "");
     for (auto& connection : connections)
-        if (connection.asked) write(connection, frame);
+        if (connection.asked && !connection.closed) write(connection, frame);
     heartbeat.set(heartbeat_every);
 }
 
@@ -171,7 +171,7 @@
     for (auto& event : publish.purges) add(event);
     for (auto& event : publish.configurations) add(event);
     for (auto& connection : connections)
-        if (connection.asked) write(connection, frames);
+        if (connection.asked && !connection.closed) write(connection, frames);
 }
 
 void ControlMachine::take(const MachineReportRequest& /*request*/) {
--- a/src/rig/hollow/main.cpp
+++ b/src/rig/hollow/main.cpp
@@ -43,6 +43,9 @@
 }
 
 int play_role(int (*role)(int)) {
+    // Guards against a far side that closes while it is written to: that ends its connection, not the
+    // process.
+    std::signal(SIGPIPE, SIG_IGN);
     try {
         return role(ChildProcess::control_descriptor);
     } catch (const std::exception& error) {
--- a/src/rig/hollow/supervisor.cpp
+++ b/src/rig/hollow/supervisor.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 constexpr Micros ms = 1000, second = 1000 * ms;
-constexpr int most_hollow_a_worker = 250, hollow_a_small_worker = 15, workers_of_a_small_run = 8;
+constexpr int most_hollow_a_worker = 125, hollow_a_small_worker = 15, workers_of_a_small_run = 8;
 constexpr int turn_wait_ms = 5;
 constexpr Micros publish_every = 50 * ms, check_every = 500 * ms, report_every = 2 * second;
 constexpr Micros longest_wait = 30 * second;  // for answers of children
--- a/tests/hollow_test.cpp
+++ b/tests/hollow_test.cpp
@@ -82,6 +82,17 @@
 
 bool runs(pid_t process) { return kill(process, 0) == 0; }
 
+// By the mask of /proc.
+bool ignores(pid_t process, int signal) {
+    std::ifstream status("/proc/" + std::to_string(process) + "/status");
+    for (std::string word; status >> word;) {
+        if (word != "SigIgn:") continue;
+        status >> word;
+        return std::stoull(word, nullptr, 16) >> (signal - 1) & 1;
+    }
+    return false;
+}
+
 // Waits until `condition` holds, 20 s at most.
 template <class Condition>
 bool comes_true(Condition condition) {
@@ -139,6 +150,14 @@
     CHECK(text.find("MB resident, 20 are allowed") != text.npos);
 }
 
+TEST_CASE("hollow run: a connection that the far side closes while it is written to ends no child") {
+    HollowProgram program({"--hollow", "8", "--real", "0", "--seconds", "60", "--control-machines", "2"});
+    REQUIRE(comes_true([&] { return program.children().size() == 4; }));
+    for (auto child : program.children()) CHECK(comes_true([&] { return ignores(child, SIGPIPE); }));
+    kill(program.process, SIGTERM);
+    CHECK(program.exit_code() == 1);
+}
+
 TEST_CASE(
     "hollow run: no child is left when one has failed, after a signal, or when the supervisor was killed") {
     struct End {
