--- a/src/rig/hollow/control_machine.cpp
+++ b/src/rig/hollow/control_machine.cpp
@@ -78,7 +78,7 @@
     void write(Connection& connection, std::string_view bytes);
     void beat();
     void take(const Publish& publish);
-    void take(const MachineReportRequest&);
+    void take(const MachineReportRequest& request);
 
     node::Owned<event_base> base{event_base_new()};
     LineChannel supervisor;
@@ -158,7 +158,7 @@
 void ControlMachine::beat() {
     auto frame = frame_of(0, Heartbeat, "");
     for (auto& connection : connections)
-        if (connection.asked) write(connection, frame);
+        if (connection.asked && !connection.closed) write(connection, frame);
     heartbeat.set(heartbeat_every);
 }
 
@@ -171,10 +171,10 @@
     for (auto& event : publish.purges) add(event);
     for (auto& event : publish.configurations) add(event);
     for (auto& connection : connections)
-        if (connection.asked) write(connection, frames);
+        if (connection.asked && !connection.closed) write(connection, frames);
 }
 
-void ControlMachine::take(const MachineReportRequest&) {
+void ControlMachine::take(const MachineReportRequest& /*request*/) {
     MachineReport report;
     report.bytes_sent = bytes_sent;
     for (auto& connection : connections)
