--- a/bench/scale.cpp
+++ b/bench/scale.cpp
@@ -192,7 +192,8 @@
 }  // namespace
 
 int main(int count, char** arguments) {
-    bool quick = false, no_hollow = false, no_purges = false, before_only = false, progress = false;
+    bool quick = false, no_hollow = false, no_purges = false, before_only = false, after_only = false,
+         progress = false;
     CLI::App app("The fleet at its planned size, simulated and with real processes");
     app.add_flag("--quick", quick, "smaller sizes, under 50 s");
     app.add_flag("--no-hollow", no_hollow, "without real processes");
@@ -202,6 +203,7 @@
     int hollow = most_hollow;
     app.add_option("--hollow", hollow, "hollow routers of the run with real processes");
     std::vector<int> sizes;
+    app.add_flag("--after-only", after_only, "only the side with state transfer");
     app.add_flag("--progress", progress, "the figures so far after each part, on standard error");
     app.add_option("--sizes", sizes, "other sizes than the five, four at least, smallest first")
         ->expected(4, 9);
@@ -222,13 +224,13 @@
     }
     if (!before.hollow.is_object()) fmt::print("no run with real processes: its keys are null\n");
 
-    before.membership.resize(plan.sizes.size());
+    if (!after_only) before.membership.resize(plan.sizes.size());
     if (!before_only) after.membership.resize(plan.sizes.size());
     std::vector<PurgeFigures> purges(plan.purges.size());
     std::vector<std::function<void()>> jobs;
     for (std::size_t i = plan.sizes.size(); i-- > 0;)
         for (auto* side : {&before, &after}) {
-            if (side == &after && before_only) continue;
+            if (side == &after ? before_only : after_only) continue;
             jobs.emplace_back([&, i, side] {
                 auto options = scenario(plan.sizes[i], side == &after, plan.quick);
                 if (progress)
@@ -251,7 +253,7 @@
         print_table(after);
     }
     print_purges(purges);
-    if (!quick && !before_only) plot(before, after);
+    if (!quick && !before_only && !after_only) plot(before, after);
 
     auto summary = summary_of(after);
     auto summary_before = summary_of(before);
