Start without a command-line parser where there are no words

Looked for what can sleep before the first log line: one thread, no clone, one futex call (a wake, of libstdc++'s locale), no wait; 14 pthread_once (all locale), one mutex (protobuf-lite, free), 6 guards of statics, none with anybody to wait for. Three of the guards, and most of the work that is ours, were CLI11's, built for no words at all.

--- a/src/cli/command.cpp
+++ b/src/cli/command.cpp
@@ -28,6 +28,7 @@
 }  // namespace
 
 Parsed parse(int count, const char* const* words) {
+    if (count <= 1) return {Command{}, 0};  // serves, and builds no parser for it
     CLI::App app("a router before tiers of caches; without a command it serves, as PROXY_CONFIG tells",
                  "quillgrade");
     Command command;
