--- a/src/rig/hollow/child_process.cpp
+++ b/src/rig/hollow/child_process.cpp
@@ -100,7 +100,7 @@
     std::string line;
     std::getline(times, line);
     auto name_end = line.rfind(')');
-    if (name_end == line.npos) return usage;
+    if (name_end == std::string::npos) return usage;
     constexpr int fields_before_user_time = 11;
     const char* rest = line.c_str() + name_end + 1;
     char* next = nullptr;
--- a/src/rig/hollow/line_channel.cpp
+++ b/src/rig/hollow/line_channel.cpp
@@ -61,7 +61,7 @@
     }
     std::vector<std::string> lines;
     std::size_t begin = 0;
-    for (auto end = incomplete.find('\n'); end != incomplete.npos; end = incomplete.find('\n', begin)) {
+    for (auto end = incomplete.find('\n'); end != std::string::npos; end = incomplete.find('\n', begin)) {
         lines.push_back(incomplete.substr(begin, end - begin));
         begin = end + 1;
     }
