--- a/src/rig/scale/scenarios.cpp
+++ b/src/rig/scale/scenarios.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <limits>
+#include <numeric>
 #include <set>
 #include <utility>
 
@@ -221,8 +222,8 @@
     }
 
     std::vector<Number> everybody() const {
-        std::vector<Number> all;
-        for (Number who = 0; who < fleet.routers(); who++) all.push_back(who);
+        std::vector<Number> all(static_cast<std::size_t>(fleet.routers()));
+        std::iota(all.begin(), all.end(), 0);
         return all;
     }
 
@@ -311,6 +312,7 @@
         auto watched = some_of(one, most_watched / 2);
         for (auto who : some_of(other, most_watched / 2)) watched.push_back(who);
         std::vector<SeenAlive> seen;
+        seen.reserve(watched.size());
         for (auto who : watched) seen.push_back(seen_alive(who));
         fleet.cut_regions(order[0], order[1], true);
         fleet.run_for(options.region_cut / 2);
--- a/src/rig/scale/simulated_fleet.cpp
+++ b/src/rig/scale/simulated_fleet.cpp
@@ -1,10 +1,9 @@
 #include "rig/scale/simulated_fleet.hpp"
 
-#include <time.h>
-
 #include <algorithm>
 #include <boost/random/uniform_01.hpp>
 #include <boost/random/uniform_int_distribution.hpp>
+#include <ctime>
 #include <utility>
 
 namespace quillgrade::rig::scale {
@@ -19,6 +18,10 @@
 constexpr Micros retransmission = 200 * millisecond;  // the shortest timeout of Linux
 constexpr std::uint64_t seed_step = 1'000'003;
 
+std::size_t cut_index(int from_zone, int to_zone) {
+    return static_cast<std::size_t>(from_zone) * planned_zones + static_cast<std::size_t>(to_zone);
+}
+
 // Of this thread.
 double processor_seconds() {
     timespec used{};
@@ -109,6 +112,7 @@
     for (Number who = 0; who < routers(); who++) start(who);
     std::vector<Page> pages;
     std::vector<std::string> greetings;
+    greetings.reserve(members.size());
     for (Number first = 0; first < routers(); first += accounts_a_page) {
         auto other = (first + accounts_a_page) % routers();
         if (other == first) other = (first + 1) % routers();
@@ -136,9 +140,7 @@
 
 // ---- what happens
 
-void SimulatedFleet::cut_zones(int from, int to, bool cut) {
-    cuts[static_cast<std::size_t>(from * planned_zones + to)] = cut;
-}
+void SimulatedFleet::cut_zones(int from, int to, bool cut) { cuts[cut_index(from, to)] = cut; }
 
 void SimulatedFleet::cut_regions(int one, int other, bool cut) {
     for (int from = 0; from < planned_zones; from++)
@@ -275,7 +277,7 @@
 }
 
 bool SimulatedFleet::is_cut(Number from, Number to) const {
-    return cuts[static_cast<std::size_t>(topology.at(from).zone * planned_zones + topology.at(to).zone)];
+    return cuts[cut_index(topology.at(from).zone, topology.at(to).zone)];
 }
 
 double SimulatedFleet::chance_below_one() { return boost::random::uniform_01<double>()(chance); }
--- a/src/rig/scale/simulated_fleet.hpp
+++ b/src/rig/scale/simulated_fleet.hpp
@@ -38,6 +38,8 @@
 public:
     SimulatedFleet(const Topology& topology, const FleetOptions& options);
     ~SimulatedFleet();
+    SimulatedFleet(const SimulatedFleet&) = delete;
+    SimulatedFleet& operator=(const SimulatedFleet&) = delete;
 
     Micros now() const { return time; }
     int routers() const { return topology.routers(); }
--- a/src/rig/scale/topology.cpp
+++ b/src/rig/scale/topology.cpp
@@ -1,6 +1,7 @@
 #include "rig/scale/topology.hpp"
 
 #include <algorithm>
+#include <array>
 #include <boost/random/lognormal_distribution.hpp>
 #include <boost/random/mersenne_twister.hpp>
 #include <boost/random/uniform_int_distribution.hpp>
@@ -17,7 +18,7 @@
 constexpr double load_spread = 0.7;  // sigma of the lognormal loads of routers
 constexpr double heaviest_load = 6;
 // Zones of each region: unlike on purpose.
-constexpr int zones_of_region[planned_regions] = {5, 4, 3, 3, 2, 2, 2, 2, 1, 1, 1, 1};
+constexpr std::array<int, planned_regions> zones_of_region = {5, 4, 3, 3, 2, 2, 2, 2, 1, 1, 1, 1};
 
 // Sizes of sites that add up to `routers`, each between the bounds.
 std::vector<int> site_sizes(int sites, int routers, boost::random::mt19937& chance) {
@@ -47,7 +48,8 @@
 Topology::Topology(int routers) {
     boost::random::mt19937 chance(layout_seed);
     for (int region = 0; region < planned_regions; region++)
-        for (int i = 0; i < zones_of_region[region]; i++) zone_regions.push_back(region);
+        for (int i = 0; i < zones_of_region.at(static_cast<std::size_t>(region)); i++)
+            zone_regions.push_back(region);
     auto in_proportion = static_cast<int>(std::lround(1.0 * planned_sites * routers / planned_routers));
     site_count = std::min(std::max(in_proportion, planned_zones), std::max(1, routers / smallest_site));
     auto sizes = site_sizes(site_count, routers, chance);
@@ -108,6 +110,7 @@
     std::vector<int> order(planned_regions);
     std::iota(order.begin(), order.end(), 0);
     std::vector<std::size_t> sizes;
+    sizes.reserve(order.size());
     for (auto region : order) sizes.push_back(in_region(region).size());
     std::stable_sort(order.begin(), order.end(), [&](int one, int other) {
         return sizes[static_cast<std::size_t>(one)] > sizes[static_cast<std::size_t>(other)];
--- a/src/rig/scale/topology.hpp
+++ b/src/rig/scale/topology.hpp
@@ -32,8 +32,8 @@
 
     int routers() const { return static_cast<int>(placements.size()); }
     int sites() const { return site_count; }
-    int zones() const { return planned_zones; }
-    int regions() const { return planned_regions; }
+    static int zones() { return planned_zones; }
+    static int regions() { return planned_regions; }
     const Placement& at(Number who) const { return placements[static_cast<std::size_t>(who)]; }
     int region_of_zone(int zone) const { return zone_regions[static_cast<std::size_t>(zone)]; }
 
