--- a/src/rig/scale/scenarios.cpp
+++ b/src/rig/scale/scenarios.cpp
@@ -103,6 +103,12 @@
 class StartWatch {
 public:
     StartWatch(SimulatedFleet& fleet, Micros limit) : fleet(fleet), limit(limit) {}
+    // One that starts later: the watch goes on until it was added.
+    void announce() { announced++; }
+    void add_announced(Number who) {
+        announced--;
+        add(who);
+    }
     void add(Number who) {
         pending.push_back({who, fleet.now()});
         watched++;
@@ -115,8 +121,8 @@
         });
     }
     bool done() const {
-        return std::all_of(pending.begin(), pending.end(),
-                           [this](auto& one) { return fleet.now() - one.since >= limit; });
+        return announced == 0 && std::all_of(pending.begin(), pending.end(),
+                                             [this](auto& one) { return fleet.now() - one.since >= limit; });
     }
     void run(Micros step) {
         while (!done()) {
@@ -142,7 +148,7 @@
     Micros limit;
     std::vector<Pending> pending;
     std::vector<double> milliseconds;
-    int watched = 0;
+    int watched = 0, announced = 0;
 };
 
 class MembershipScenario {
@@ -241,9 +247,10 @@
     }
     void restart(Number who, StartWatch& watch) {
         fleet.kill(who);
+        watch.announce();
         fleet.schedule(fleet.now() + restart_takes, [this, who, &watch] {
             fleet.start(who);
-            watch.add(who);
+            watch.add_announced(who);
         });
     }
 
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -179,6 +179,14 @@
     CHECK(one != repeatable(run_membership(short_run(6))));
 }
 
+TEST_CASE("starts that are complete at once are all watched, the last one too") {
+    auto options = short_run(7);
+    options.state_transfer = true;
+    auto figures = run_membership(options);
+    CHECK(figures.single_starts.watched == 6);
+    CHECK(figures.single_starts.complete == 6);
+}
+
 TEST_CASE("purges miss nobody whose stream is up") {
     auto figures = run_purges(short_purges());
     CHECK(figures.purges == 20);
