--- a/src/rig/scale/scenarios.cpp
+++ b/src/rig/scale/scenarios.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <limits>
+#include <numeric>
 #include <set>
 #include <utility>
 
@@ -102,6 +103,12 @@
 class StartWatch {
 public:
     StartWatch(SimulatedFleet& fleet, Micros limit) : fleet(fleet), limit(limit) {}
+    // One that starts later: the watch goes on until it was added.
+    void announce() { announced++; }
+    void add_announced(Number who) {
+        announced--;
+        add(who);
+    }
     void add(Number who) {
         pending.push_back({who, fleet.now()});
         watched++;
@@ -114,8 +121,8 @@
         });
     }
     bool done() const {
-        return std::all_of(pending.begin(), pending.end(),
-                           [this](auto& one) { return fleet.now() - one.since >= limit; });
+        return announced == 0 && std::all_of(pending.begin(), pending.end(),
+                                             [this](auto& one) { return fleet.now() - one.since >= limit; });
     }
     void run(Micros step) {
         while (!done()) {
@@ -141,7 +148,7 @@
     Micros limit;
     std::vector<Pending> pending;
     std::vector<double> milliseconds;
-    int watched = 0;
+    int watched = 0, announced = 0;
 };
 
 class MembershipScenario {
@@ -221,8 +228,8 @@
     }
 
     std::vector<Number> everybody() const {
-        std::vector<Number> all;
-        for (Number who = 0; who < fleet.routers(); who++) all.push_back(who);
+        std::vector<Number> all(static_cast<std::size_t>(fleet.routers()));
+        std::iota(all.begin(), all.end(), 0);
         return all;
     }
 
@@ -240,9 +247,10 @@
     }
     void restart(Number who, StartWatch& watch) {
         fleet.kill(who);
+        watch.announce();
         fleet.schedule(fleet.now() + restart_takes, [this, who, &watch] {
             fleet.start(who);
-            watch.add(who);
+            watch.add_announced(who);
         });
     }
 
@@ -311,6 +319,7 @@
         auto watched = some_of(one, most_watched / 2);
         for (auto who : some_of(other, most_watched / 2)) watched.push_back(who);
         std::vector<SeenAlive> seen;
+        seen.reserve(watched.size());
         for (auto who : watched) seen.push_back(seen_alive(who));
         fleet.cut_regions(order[0], order[1], true);
         fleet.run_for(options.region_cut / 2);
