--- a/src/peers/membership.cpp
+++ b/src/peers/membership.cpp
@@ -12,7 +12,7 @@
 constexpr Micros ms = 1000;
 constexpr int most_indirect_probes = 32, most_again = 2, most_probes = 8;
 constexpr std::size_t most_forced = 3;  // accounts that are told whatever they cost
-constexpr std::uint32_t most_incarnation = (1u << 27) - 1;
+constexpr std::uint32_t most_incarnation = (1U << 27) - 1;
 constexpr std::size_t most_changes = 10'000;
 constexpr std::size_t least_payload = 12, payload_tag = 4;  // bytes worth loading; field, length
 constexpr double own_datagram = 110;  // bytes that one for the passenger's sake needs at least
@@ -78,6 +78,7 @@
       local_health(start.rates.gap, start.now),
       byte_budget(budget_of(start.rates, start.now)),
       chance(static_cast<std::uint32_t>(start.seed ^ (start.seed >> 32) ^ start.life)),
+      last_slot(probe_schedule.slot(start.now)),
       digest_at(start.now),
       unlike(8) {
     if (rates.state_transfer) {
@@ -91,7 +92,6 @@
     mine.state = State::Alive;
     mine.since = start.now;
     mine.zone = static_cast<std::int16_t>(zone);
-    last_slot = probe_schedule.slot(start.now);
 }
 
 // ---- what comes
--- a/src/peers/membership_anti_entropy.cpp
+++ b/src/peers/membership_anti_entropy.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/random/uniform_int_distribution.hpp>
 
 #include "peers/membership.hpp"
@@ -17,11 +18,11 @@
 constexpr std::size_t page_tag = 4;  // bytes of a page's field number and length
 
 std::uint32_t hash_of(const MemberState& s, Number who, std::uint32_t so_far) {
-    std::uint64_t words[2] = {s.life, (static_cast<std::uint64_t>(who) << 48) |
-                                          (static_cast<std::uint64_t>(s.incarnation) << 8) |
-                                          (s.ill ? 64u : 0u) | static_cast<unsigned>(s.verdict) * 4u |
-                                          static_cast<unsigned>(s.phase)};
-    return XXH32(words, sizeof words, so_far);
+    const std::array<std::uint64_t, 2> words = {
+        s.life, (static_cast<std::uint64_t>(who) << 48) | (static_cast<std::uint64_t>(s.incarnation) << 8) |
+                    (s.ill ? 64U : 0U) | static_cast<std::uint64_t>(s.verdict) * 4 |
+                    static_cast<std::uint64_t>(s.phase)};
+    return XXH32(words.data(), sizeof words, so_far);
 }
 
 }  // namespace
