Note members and report ends where a cut ends without a datagram

Cause: Reachability::expire dropped a cut that its listener had not said again for a minute, but nobody noted the speaker: its state stayed silent although the pair was no longer cut. forget(), at a new life, dropped cuts without a report of their end. A cut beyond the bound of 64 facts was not kept, yet missed() said it was a cut: it was reported again at each miss and never ended.

Change: expire and forget return the cuts that end; Membership notes the speakers and reports the ends. missed() is true only where the fact was kept.

Result: tests/cut_expiry_test.cpp, 3 cases: all fail with the former sources, all pass with these.

--- a/src/peers/membership.cpp
+++ b/src/peers/membership.cpp
@@ -237,7 +237,8 @@
     member.changed = now;
     if (before.ill != joined.ill && health_news.size() < most_changes)
         health_news.push_back({account.who, joined.ill});
-    if (before.life != joined.life) reachability.forget(account.who);
+    std::vector<LinkReport> ended_cuts;
+    if (before.life != joined.life) ended_cuts = reachability.forget(account.who);
     if (joined.verdict != Verdict::Suspected || before.life != joined.life ||
         before.incarnation != joined.incarnation)
         suspicions.acquit(account.who);
@@ -246,6 +247,7 @@
         suspicions.accuse(account.who, -1, 0, now);
     if (spreading == Spread::Yes) spread(account.who, before.life != 0);
     note(account.who, by, now);
+    note_ended_cuts(ended_cuts, by, now);
 }
 
 // What others say of this router. A new word of its own answers an accusation; a new life whatever this life
@@ -319,7 +321,7 @@
     if (now >= digest_at && routers() > 1) send_digest(now);
     if (transfer) ask_for_ranges(now);
     if (now >= expire_at) {
-        reachability.expire(now);
+        note_ended_cuts(reachability.expire(now), -1, now);
         expire_at = now + 1000 * ms;
     }
     piggyback_waits = false;  // it says so again, each time before this
@@ -610,6 +612,11 @@
     note(speaker, by, now);
 }
 
+// A cut that ends without a datagram leaves the same trace as one that a datagram ends.
+void Membership::note_ended_cuts(const std::vector<LinkReport>& ended_cuts, Number by, Micros now) {
+    for (auto& report : ended_cuts) note_cut(report.speaker, report.listener, false, by, now);
+}
+
 // ---- sending
 
 // What is left of the datagram carries news: first what is held against the receiver, so that it can answer.
--- a/src/peers/membership.hpp
+++ b/src/peers/membership.hpp
@@ -218,6 +218,7 @@
     bool asks_accused();
     void note(Number who, Number by, Micros now);
     void note_cut(Number speaker, Number listener, bool cut, Number by, Micros now);
+    void note_ended_cuts(const std::vector<LinkReport>& ended_cuts, Number by, Micros now);
     State worked_out(Number who) const;
     void new_life();
     void say_anew(bool urgent);
--- a/src/peers/reachability.cpp
+++ b/src/peers/reachability.cpp
@@ -17,9 +17,10 @@
     return found == facts.end() ? nullptr : &found->second;
 }
 
-void Reachability::say(Number speaker, bool cut, Micros now) {
-    if (facts.size() >= most_facts && !find(speaker, self)) return;
+bool Reachability::say(Number speaker, bool cut, Micros now) {
+    if (facts.size() >= most_facts && !find(speaker, self)) return false;
     facts[{speaker, self}] = {{speaker, self, ++statements, cut}, 0, now, 0};
+    return true;
 }
 
 bool Reachability::heard(Number speaker, Micros now) {
@@ -40,8 +41,7 @@
         if (fact && fact->what.cut && now - fact->at > again_after) say(speaker, true, now);
         return false;
     }
-    say(speaker, true, now);
-    return true;
+    return say(speaker, true, now);
 }
 
 bool Reachability::told(const LinkReport& fact, Life listener_life, Micros now) {
@@ -55,13 +55,28 @@
     return true;
 }
 
-void Reachability::forget(Number router) {
+// Returns the cuts among the facts that are dropped, as reports of their ends.
+template <class Ended>
+std::vector<LinkReport> Reachability::drop_facts(Ended ended) {
+    std::vector<LinkReport> ended_cuts;
+    std::erase_if(facts, [&](auto& entry) {
+        const Fact& fact = entry.second;
+        if (!ended(fact)) return false;
+        if (fact.what.cut)
+            ended_cuts.push_back({fact.what.speaker, fact.what.listener, fact.what.said, false});
+        return true;
+    });
+    return ended_cuts;
+}
+
+std::vector<LinkReport> Reachability::forget(Number router) {
     ears.erase(router);
-    std::erase_if(facts, [&](auto& one) { return one.first.first == router || one.first.second == router; });
+    return drop_facts(
+        [&](const Fact& fact) { return fact.what.speaker == router || fact.what.listener == router; });
 }
 
-void Reachability::expire(Micros now) {
-    std::erase_if(facts, [&](auto& one) { return now - one.second.at > lasts; });
+std::vector<LinkReport> Reachability::expire(Micros now) {
+    return drop_facts([&](const Fact& fact) { return now - fact.at > lasts; });
 }
 
 bool Reachability::cut(Number speaker, Number listener) const {
--- a/src/peers/reachability.hpp
+++ b/src/peers/reachability.hpp
@@ -21,9 +21,11 @@
     bool missed(Number speaker, Micros now);
     // What another listener says; true where it is news.
     bool told(const LinkReport& fact, Life listener_life, Micros now);
-    // A router's new life begins: all it said and all said of it is over.
-    void forget(Number router);
-    void expire(Micros now);  // facts that their listeners have not said again for a minute
+    // A router's new life begins: all it said and all said of it is over. Returns the cuts that end with it.
+    std::vector<LinkReport> forget(Number router);
+    // Drops the facts that their listeners have not said again for a minute. Returns the cuts that end with
+    // it.
+    std::vector<LinkReport> expire(Micros now);
 
     bool cut(Number speaker, Number listener) const;
     // Facts to pass on, those told least often first, and counts them as told once more.
@@ -44,7 +46,9 @@
         Micros first = 0;
     };
     Fact* find(Number speaker, Number listener);
-    void say(Number speaker, bool cut, Micros now);
+    bool say(Number speaker, bool cut, Micros now);  // false where there is no room for one more fact
+    template <class Ended>
+    std::vector<LinkReport> drop_facts(Ended ended);
     Number self;
     std::map<std::pair<Number, Number>, Fact> facts;
     std::map<Number, Ear> ears;
--- /dev/null
+++ b/tests/cut_expiry_test.cpp
@@ -0,0 +1,79 @@
+// Cuts that end without a datagram of the speaker: by time, or by the new life of one of the pair.
+#include <doctest/doctest.h>
+
+#include "peers/membership.hpp"
+
+using namespace quillgrade::peers;
+
+namespace {
+
+constexpr Micros second = 1'000'000, noon_at = 1'764'576'000 * second;
+constexpr Micros past_expiry = noon_at + 62 * second;
+constexpr Number helper = 2, silent = 1;
+constexpr int misses_of_a_cut = 4;
+
+std::string datagram_of_helper(Kind kind, Number about, Life life_of_silent) {
+    Message message;
+    message.from = helper;
+    message.self = {500, Phase::Here, 0, Verdict::Alive, false};
+    message.kind = kind;
+    message.about = about;
+    message.probe = kind == Kind::Ping ? 7 : 0;
+    message.accounts = {{silent, {life_of_silent, Phase::Here, 0, Verdict::Alive, false}}};
+    return encode(message);
+}
+
+// Router 0, which has missed what `silent` sent it, as the helper's pings on its behalf show.
+Membership with_a_silent_router() {
+    Start start;
+    start.routers = 4;
+    start.life = 1000;
+    start.now = noon_at;
+    Membership membership(start);
+    for (int i = 0; i < misses_of_a_cut; i++)
+        membership.hear(helper, datagram_of_helper(Kind::Ping, silent, 500), noon_at);
+    return membership;
+}
+
+}  // namespace
+
+TEST_CASE("a member is silent no longer when its cut expires") {
+    auto membership = with_a_silent_router();
+    REQUIRE(membership.state(silent) == State::Silent);
+    membership.heard_of();
+    membership.changes();
+    membership.pass(past_expiry);
+    CHECK(membership.cuts().empty());
+    CHECK(membership.state(silent) == State::Alive);
+    auto changes = membership.changes();
+    REQUIRE(changes.size() == 1);
+    CHECK(changes[0].who == silent);
+    CHECK(changes[0].after == State::Alive);
+    CHECK(changes[0].by == -1);
+    auto reports = membership.heard_of();
+    REQUIRE(reports.size() == 1);
+    CHECK(reports[0].speaker == silent);
+    CHECK(reports[0].listener == 0);
+    CHECK(!reports[0].cut);
+}
+
+TEST_CASE("the end of a cut is told when a new life of the speaker ends it") {
+    auto membership = with_a_silent_router();
+    REQUIRE(membership.state(silent) == State::Silent);
+    membership.heard_of();
+    membership.hear(helper, datagram_of_helper(Kind::News, -1, 600), noon_at + second / 10);
+    CHECK(membership.state(silent) == State::Alive);
+    auto reports = membership.heard_of();
+    REQUIRE(reports.size() == 1);
+    CHECK(reports[0].speaker == silent);
+    CHECK(!reports[0].cut);
+}
+
+TEST_CASE("a cut that there is no room for is not told as one") {
+    constexpr Number most_cuts = 64;
+    Reachability reachability(0);
+    for (Number speaker = 1; speaker <= most_cuts; speaker++)
+        CHECK(reachability.told({speaker, speaker + 1, 1, true}, 1, noon_at));
+    for (int i = 0; i < 2 * misses_of_a_cut; i++) CHECK(!reachability.missed(200, noon_at));
+    CHECK(!reachability.cut(200, 0));
+}
