Bound the last pings to an accused router also without state transfer

Cause: shortly before a verdict every holder of a suspicion pinged the accused, all at the same moment; only with state transfer on was their number bounded.

Change: each router draws whether it pings, eight on average (expected_last_pings); the others tell one more router what they hold, three in place of two. With state transfer on this one more is new as well.

Not run: the fleet of processes.

--- a/src/peers/membership.cpp
+++ b/src/peers/membership.cpp
@@ -15,6 +15,13 @@
 constexpr std::uint32_t most_incarnation = (1U << 27) - 1;
 constexpr std::size_t most_changes = 10'000;
 constexpr std::size_t least_payload = 12, payload_tag = 4;  // bytes worth loading; field, length
+// How many routers ping an accused one shortly before the verdict, on average: each draws for itself. Two
+// seconds of the default byte budget leave 75 bytes for each of eight answers, and the chance that nobody
+// pings is below 1 / e^8, one verdict in some 3,000.
+constexpr int expected_last_pings = 8;
+// How many others are told what is held against an accused router before the verdict, where it is pinged too
+// and where it is not: three datagrams either way.
+constexpr std::size_t witnesses_beside_accused = 2, witnesses_alone = 3;
 constexpr double own_datagram = 110;  // bytes that one for the passenger's sake needs at least
 
 // With state transfer on, what all send in one burst has to leave room for pages in what one of them takes
@@ -559,13 +566,15 @@
         if (!one.last_call && now < when && now >= when - 2 * rates.period) last_calls.push_back(who);
     }
     // Guards against a verdict by a router that alone has missed the answer to the accusation: it asks the
-    // accused once more, and tells two others what it holds, who put it right if they know better.
+    // accused once more, or one more of the others, and tells them what it holds, who put it right if they
+    // know better.
     for (auto who : last_calls) {
         Message ping;
         ping.kind = Kind::Ping;
         suspicions.called(who);
-        if (asks_accused()) send(who, ping, SendPriority::News, now);
-        for (auto other : pick(2, who))
+        bool asks = asks_accused();
+        if (asks) send(who, ping, SendPriority::News, now);
+        for (auto other : pick(asks ? witnesses_beside_accused : witnesses_alone, who))
             send(other, ping, SendPriority::News, now, {{who, at(who).member_state}});
     }
     for (auto who : due) {
@@ -577,14 +586,12 @@
     }
 }
 
-// Guards against an accused router that all others ping at the same moment: at 3,000 routers it was sent 185
-// KB within two seconds, and can answer a small part of them. With state transfer on, about as many do as can
-// be answered at once; all still tell two others.
+// Guards against an accused router that all others ping at the same moment: it can answer a small part of
+// them. Those that don't ping it ask one more witness. With few routers all ping it, as there are no more.
 bool Membership::asks_accused() {
-    constexpr int enough_askers = 8;
-    if (!rates.state_transfer || routers() <= enough_askers) return true;
+    if (routers() <= expected_last_pings) return true;
     boost::random::uniform_int_distribution<int> draw(0, routers() - 1);
-    return draw(chance) < enough_askers;
+    return draw(chance) < expected_last_pings;
 }
 
 State Membership::worked_out(Number who) const {
