Mend what clang-tidy finds in the scale, hollow, state transfer and start tests and sources

The sources were written before .clang-tidy was there. C arrays are std::array, literal suffixes are upper case, multiplications are done in the wide type, methods that use no member are static or free functions, classes with a destructor forbid copying, parameter names agree, vectors are reserved. Three NOLINT with reasons, as elsewhere: two main functions whose CLI11 options may throw, and moving a JSON value. No logic changes.

--- a/bench/scale.cpp
+++ b/bench/scale.cpp
@@ -191,6 +191,7 @@
 
 }  // namespace
 
+// NOLINTNEXTLINE(bugprone-exception-escape): an option that CLI11 refuses is a fault that ends the program.
 int main(int count, char** arguments) {
     bool quick = false, no_hollow = false, no_purges = false, before_only = false, after_only = false,
          progress = false;
--- a/src/peers/bits.hpp
+++ b/src/peers/bits.hpp
@@ -49,7 +49,7 @@
     std::optional<std::uint64_t> take(int width) {
         if (static_cast<std::size_t>(width) > bytes.size() * 8 - used) return {};
         std::uint64_t value = 0;
-        for (; width > 0; width--) value = value << 1 | (next() ? 1u : 0u);
+        for (; width > 0; width--) value = value << 1 | (next() ? 1U : 0U);
         return value;
     }
     std::optional<std::uint64_t> take_unary() {
--- a/src/peers/state_transfer.hpp
+++ b/src/peers/state_transfer.hpp
@@ -49,15 +49,15 @@
     };
     using Ranking = std::function<HelperRank(Number)>;
 
-    StateTransfer(Number self, int routers, std::uint32_t seed, Micros now);
+    StateTransfer(Number own_number, int count, std::uint32_t seed, Micros now);
 
     // Fetches all anew, as at a start.
     void begin(Micros now);
     // The same after this router was stopped: what it hears at this time came before, and costs no bytes now.
     void begin_after_pause(Micros now);
-    // Fetches a range in which the accounts of `source` differ, from it if it answers, unless that was done a
+    // Fetches a range in which the accounts of `from` differ, from it if it answers, unless that was done a
     // short time ago.
-    void refresh(Number first, int members, Number source, Micros now);
+    void refresh(Number first, int members, Number from, Micros now);
 
     // Each datagram that comes, whatever it is.
     void received(std::size_t bytes, Micros now);
--- a/src/rig/hollow/main.cpp
+++ b/src/rig/hollow/main.cpp
@@ -56,6 +56,7 @@
 
 }  // namespace
 
+// NOLINTNEXTLINE(bugprone-exception-escape): an option that CLI11 refuses is a fault that ends the program.
 int main(int count, char** words) {
     CLI::App app("a tier of hollow and real routers in real time", "quillgrade_hollow");
     app.require_subcommand(1);
--- a/src/rig/hollow/real_routers.cpp
+++ b/src/rig/hollow/real_routers.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <cstdio>
 #include <cstring>
 #include <fstream>
@@ -48,6 +49,7 @@
 
 std::vector<int> RealRouters::cache_ports() const {
     std::vector<int> ports;
+    ports.reserve(caches);
     for (int i = 0; i < caches; i++) ports.push_back(world.port_of_box(i));
     return ports;
 }
@@ -98,10 +100,10 @@
         for (std::string line; std::getline(log, line);) {
             long long seconds = 0, milliseconds = 0;
             int subject = 0;
-            char after[32] = "";
+            std::array<char, 32> after{};
             if (std::sscanf(line.c_str(), "%lld.%lld info peers: %d %*s -> %31s", &seconds, &milliseconds,
-                            &subject, after) != 4 ||
-                std::strcmp(after, "dead") != 0)
+                            &subject, after.data()) != 4 ||
+                std::strcmp(after.data(), "dead") != 0)
                 continue;
             auto at = (seconds * 1000 + milliseconds) * ms;
             all.push_back({subject, 1, at, at});
--- a/src/rig/scale/report.hpp
+++ b/src/rig/scale/report.hpp
@@ -11,6 +11,7 @@
 namespace quillgrade::rig::scale {
 
 // Runs of one side, smallest fleet first.
+// NOLINTNEXTLINE(bugprone-exception-escape): only for want of memory, which ends the process anyway.
 struct Side {
     std::vector<MembershipFigures> membership;
     nlohmann::json hollow;  // last line of quillgrade_hollow, null where it did not run
--- a/tests/crossing.hpp
+++ b/tests/crossing.hpp
@@ -20,7 +20,7 @@
     feed::Event list() {
         return {1, feed::Listing{true, {endpoint(cache_id), endpoint(parent_id), endpoint(origin_id)}}};
     }
-    feed::Event change(feed::Endpoint one) { return {2, feed::Listing{false, {one}}}; }
+    static feed::Event change(feed::Endpoint one) { return {2, feed::Listing{false, {one}}}; }
     void told(feed::Event event) { turn.take({std::move(event)}, clock.now()); }
     void ask(int seq = 1, const std::string& id = "9b1f03aa5c7e2d41") {
         auto fields = call_fields();
@@ -61,7 +61,7 @@
         act();
         pump([&] { return pool.to_write() == 1; });
     }
-    bool asked_nothing(const Socket& link) {
+    static bool asked_nothing(const Socket& link) {
         char byte;
         auto got = ::recv(link.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
         return got <= 0;
--- a/tests/flaws/peers_flaws.cpp
+++ b/tests/flaws/peers_flaws.cpp
@@ -4,6 +4,7 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
+#include <array>
 #include <map>
 
 #include "flaws/transfer_scenarios.hpp"
@@ -12,7 +13,6 @@
 using namespace quillgrade;
 using namespace quillgrade::peers;
 using rig::Simulated;
-using rig::Weather;
 
 namespace {
 
@@ -217,7 +217,7 @@
     sim.run_until(sim.now() + 60 * second);
     auto before = sim.figures(7).bytes_sent;
     sim.run_until(sim.now() + 30 * second);
-    return sim.figures(7).bytes_sent - before < 30 * 170;
+    return sim.figures(7).bytes_sent - before < std::uint64_t{30} * 170;
 }
 
 bool storm_is_bounded() {
@@ -233,7 +233,7 @@
         sim.run_until(sim.now() + ms);
     }
     // Ten seconds, and two seconds' worth at once.
-    return sim.figures(0).bytes_sent - before <= 300 * 12 + longest;
+    return sim.figures(0).bytes_sent - before <= std::uint64_t{300} * 12 + longest;
 }
 
 bool asks_before_judging() {
@@ -277,7 +277,7 @@
     bool (*holds)();
     std::vector<Flaw> guards;
 };
-const Scenario scenarios[] = {
+const auto scenarios = std::to_array<Scenario>({
     {"a router started again within a probe period, with old datagrams under way",
      restarted_at_once,
      {Flaw::LifeIgnored}},
@@ -322,7 +322,7 @@
      transfer_scenarios::stopped_helper_admits_it,
      {Flaw::PauseKeepsComplete}},
     {"off means off", transfer_scenarios::off_means_off, {Flaw::PagesWhileOff}},
-};
+});
 
 }  // namespace
 
--- a/tests/flaws/seam/shared/flaw.cpp
+++ b/tests/flaws/seam/shared/flaw.cpp
@@ -1,8 +1,8 @@
 #include "shared/flaw.hpp"
 
-#include <signal.h>
 #include <unistd.h>
 
+#include <csignal>
 #include <cstdlib>
 
 namespace quillgrade::shared {
--- a/tests/flaws/transfer_scenarios.hpp
+++ b/tests/flaws/transfer_scenarios.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <algorithm>
+#include <array>
 #include <deque>
 #include <set>
 #include <vector>
@@ -15,7 +16,7 @@
 using rig::Simulated;
 using rig::Weather;
 
-inline constexpr Micros ms = 1000, second = 1000 * ms;
+inline constexpr Micros ms = 1000, second = 1000 * ms, day = 86'400 * second;
 inline constexpr int bytes_in_two_seconds = 2 * 4096;
 
 inline Rates rates_with_transfer() {
@@ -29,7 +30,7 @@
 class TwoSeconds {
 public:
     void add(Micros at, std::size_t bytes) {
-        seen.push_back({at, static_cast<int>(bytes)});
+        seen.emplace_back(at, static_cast<int>(bytes));
         sum += static_cast<int>(bytes);
         while (seen.front().first <= at - 2 * second) {
             sum -= seen.front().second;
@@ -53,7 +54,7 @@
           in(static_cast<std::size_t>(count)),
           out(static_cast<std::size_t>(count)),
           chance(static_cast<std::uint32_t>(seed)) {
-        boost::random::uniform_int_distribution<Micros> back(0, 3 * 86'400 * second);
+        boost::random::uniform_int_distribution<Micros> back(0, 3 * day);
         sim.running_for = [this, back](int) mutable { return back(chance); };
         sim.on_send = [this](int from, int to, const std::string& bytes) {
             out[static_cast<std::size_t>(from)].add(sim.now(), bytes.size());
@@ -168,14 +169,14 @@
         start.rates = rates;
         membership = std::make_unique<Membership>(start);
     }
-    Message from(Number helper, Kind kind) const {
+    static Message from(Number helper, Kind kind) {
         Message message;
         message.from = helper;
         message.self = {life_of(helper), Phase::Here, 0, Verdict::Alive, false};
         message.kind = kind;
         return message;
     }
-    Message page(Number helper, SnapshotPage page, bool complete) const {
+    static Message page(Number helper, SnapshotPage page, bool complete) {
         auto message = from(helper, Kind::RangePage);
         message.page = std::move(page);
         message.complete = complete;
@@ -189,7 +190,7 @@
             for (auto& one : membership->outgoing()) {
                 auto read = decode(one.bytes, membership->routers(), now);
                 if (read.message && read.message->kind == Kind::RangeRequest)
-                    waiting.push_back({one.to, *read.message});
+                    waiting.emplace_back(one.to, *read.message);
             }
             if (waiting.empty()) continue;
             auto first = waiting.front();
@@ -315,13 +316,13 @@
     Alone one(20);
     auto newer = Alone::account_of(7);
     newer.member_state.life += 5000;
-    auto news = one.from(3, Kind::News);
+    auto news = Alone::from(3, Kind::News);
     news.accounts = {newer};
     one.hear(news);
     auto asked = one.next_request();
     if (!asked) return false;
     SnapshotPage page{1, 19, {Alone::account_of(6), Alone::account_of(7)}};
-    one.hear(one.page(asked->first, page, true));
+    one.hear(Alone::page(asked->first, page, true));
     return one.known(6) == Alone::account_of(6).member_state && one.known(7) == newer.member_state;
 }
 
@@ -329,22 +330,23 @@
 inline bool helpers_that_differ() {
     Alone one(20);
     std::vector<Account> known;
+    known.reserve(19);
     for (Number who = 1; who < 20; who++) known.push_back(Alone::account_of(who));
     auto less = known;
     std::erase_if(less, [](auto& account) { return account.who > 10; });
     auto first = one.next_request();
     if (!first) return false;
-    one.hear(one.page(first->first, {1, 19, less}, false));
+    one.hear(Alone::page(first->first, {1, 19, less}, false));
     auto second_asked = one.next_request(5 * second);
     if (!second_asked || !one.membership->transferring()) return false;
     if (second_asked->second.first != 11 || second_asked->second.range_members != 9) return false;
-    one.hear(one.page(second_asked->first, {11, 9, {known.begin() + 10, known.end()}}, false));
+    one.hear(Alone::page(second_asked->first, {11, 9, {known.begin() + 10, known.end()}}, false));
     return !one.membership->transferring() && one.known(19) == known.back().member_state;
 }
 
 // What it answers when it is asked by router 3.
 inline std::optional<Message> answer_of(Alone& one) {
-    auto request = one.from(3, Kind::RangeRequest);
+    auto request = Alone::from(3, Kind::RangeRequest);
     request.range_members = 20;
     request.pages = 1;
     one.hear(request);
@@ -367,8 +369,9 @@
     auto asked = one.next_request();
     if (!asked) return false;
     std::vector<Account> all;
+    all.reserve(19);
     for (Number who = 1; who < 20; who++) all.push_back(Alone::account_of(who));
-    one.hear(one.page(asked->first, {1, 19, all}, true));
+    one.hear(Alone::page(asked->first, {1, 19, all}, true));
     auto before = answer_of(one);
     if (one.membership->transferring() || !before || !before->complete) return false;
     one.now += 20 * second;
@@ -378,13 +381,13 @@
 
 inline bool page_gives_nobody_up() {
     Alone one(20);
-    auto alive = one.from(7, Kind::Ping);
+    auto alive = Alone::from(7, Kind::Ping);
     one.hear(alive);
     auto asked = one.next_request();
     if (!asked) return false;
     auto dead = Alone::account_of(7), unheard = Alone::account_of(8);
     dead.member_state.verdict = unheard.member_state.verdict = Verdict::Dead;
-    one.hear(one.page(asked->first, {1, 19, {dead, unheard}}, true));
+    one.hear(Alone::page(asked->first, {1, 19, {dead, unheard}}, true));
     return one.membership->state(7) == State::Alive && one.membership->state(8) == State::Dead;
 }
 
@@ -481,7 +484,7 @@
     return shed && answers && tier.out[9].most <= bytes_in_two_seconds;
 }
 
-inline HelperRank all_fit(Number) { return HelperRank::Fit; }
+inline HelperRank all_fit(Number /*helper*/) { return HelperRank::Fit; }
 
 // Whatever it is that comes in, gossip for instance.
 inline bool requests_follow_bytes() {
@@ -508,7 +511,7 @@
 
 inline bool unasked_pages_unused() {
     Alone one(20);
-    one.hear(one.page(5, {1, 19, {Alone::account_of(8)}}, true));
+    one.hear(Alone::page(5, {1, 19, {Alone::account_of(8)}}, true));
     return one.known(8).life == 0 && one.membership->figures().pages_unasked == 1 &&
            one.membership->transferring();
 }
@@ -521,7 +524,7 @@
     tier.restart(9);
     tier.run(10 * second);
     Alone one(20, false);
-    one.hear(one.page(5, {1, 19, {Alone::account_of(8)}}, true));
+    one.hear(Alone::page(5, {1, 19, {Alone::account_of(8)}}, true));
     bool dropped = one.membership->figures().dropped[static_cast<std::size_t>(Dropped::TransferOff)] == 1;
     return tier.transfer_datagrams == 0 && dropped && one.known(8).life == 0 && one.known(5).life == 0;
 }
@@ -530,7 +533,7 @@
     const char* name;
     bool (*holds)();
 };
-inline const Scenario scenarios[] = {
+inline const auto scenarios = std::to_array<Scenario>({
     {"a restarted router knows all within seconds", restarted_knows_all},
     {"at 1,000 routers within 6 s and two seconds' worth of bytes", paced_at_a_thousand},
     {"helpers killed in the midst", helper_killed},
@@ -554,6 +557,6 @@
     {"requests in vain slow down, and end", requests_in_vain_slow_down},
     {"pages that nobody asked for are not used", unasked_pages_unused},
     {"off means off", off_means_off},
-};
+});
 
 }  // namespace quillgrade::transfer_scenarios
--- a/tests/late_connection_test.cpp
+++ b/tests/late_connection_test.cpp
@@ -20,7 +20,7 @@
         one.steps([&] { return one.turn.held() == 0; });
         auto link = accept(one.cache);
         for (int i = 0; i < 5; i++) one.step();
-        CHECK(one.asked_nothing(link));
+        CHECK(Crossing::asked_nothing(link));
     }
 }
 
@@ -36,19 +36,20 @@
 }
 
 TEST_CASE("nothing is written to a cache that drains by now, and the client is answered") {
-    nothing_is_written(
-        [](Crossing& one) { one.told(one.change(one.endpoint(Crossing::cache_id, Listed::Draining))); });
+    nothing_is_written([](Crossing& one) {
+        one.told(Crossing::change(one.endpoint(Crossing::cache_id, Listed::Draining)));
+    });
 }
 
 TEST_CASE("nothing is written to a cache that has gone, even where its place is taken already") {
     nothing_is_written(
-        [](Crossing& one) { one.told(one.change(one.endpoint(Crossing::cache_id, Listed::Gone))); });
+        [](Crossing& one) { one.told(Crossing::change(one.endpoint(Crossing::cache_id, Listed::Gone))); });
     // The same address under the same id is another process all the same.
     nothing_is_written([](Crossing& one) {
         auto again = one.endpoint(Crossing::cache_id);
-        one.told(one.change(one.endpoint(Crossing::cache_id, Listed::Gone)));
+        one.told(Crossing::change(one.endpoint(Crossing::cache_id, Listed::Gone)));
         again.entry.listed = Listed::Draining;
-        one.told(one.change(again));
+        one.told(Crossing::change(again));
     });
 }
 
@@ -60,21 +61,22 @@
     Listener elsewhere;
     auto again = one.endpoint(Crossing::cache_id);
     again.port = static_cast<std::uint16_t>(elsewhere.port);
-    one.told(one.change(again));  // without a word that it had gone
+    one.told(Crossing::change(again));  // without a word that it had gone
     auto link = accept(one.cache);
     one.steps([&] { return Quiet::readable(elsewhere) || one.turn.held() == 0; });
     for (int i = 0; i < 5; i++) one.step();
-    CHECK(one.asked_nothing(link));
+    CHECK(Crossing::asked_nothing(link));
 }
 
 TEST_CASE("nothing is written that names a source which drains by now") {
     nothing_is_written([](Crossing& one) {
-        one.told(one.change(one.endpoint(Crossing::parent_id, Listed::Draining)));
-        one.told(one.change(one.endpoint(Crossing::cache_id, Listed::Draining)));  // nor by a further try
+        one.told(Crossing::change(one.endpoint(Crossing::parent_id, Listed::Draining)));
+        one.told(
+            Crossing::change(one.endpoint(Crossing::cache_id, Listed::Draining)));  // nor by a further try
     });
     Crossing one;
     one.opened();
-    one.told(one.change(one.endpoint(Crossing::parent_id, Listed::Draining)));
+    one.told(Crossing::change(one.endpoint(Crossing::parent_id, Listed::Draining)));
     one.steps([&] { return Quiet::readable(one.cache); });
     auto link = accept(one.cache);
     one.steps([&] { return Quiet::readable(link); });
@@ -84,10 +86,10 @@
 TEST_CASE("nothing is written on a connection to a process that has been started again since") {
     Crossing one;
     one.opened();
-    one.told(one.change(one.endpoint(Crossing::cache_id, Listed::Ready, one.clock.now())));
+    one.told(Crossing::change(one.endpoint(Crossing::cache_id, Listed::Ready, one.clock.now())));
     auto link = accept(one.cache);
     for (int i = 0; i < 5; i++) one.step();
-    CHECK(one.asked_nothing(link));
+    CHECK(Crossing::asked_nothing(link));
 }
 
 // Probes are new work too.
@@ -98,10 +100,10 @@
         one.turn.tend(one.clock.now());
         one.act();
         one.pump([&] { return one.pool.to_write() == 1; });
-        if (drains) one.told(one.change(one.endpoint(Crossing::cache_id, Listed::Draining)));
+        if (drains) one.told(Crossing::change(one.endpoint(Crossing::cache_id, Listed::Draining)));
         auto link = accept(one.cache);
         for (int i = 0; i < 5; i++) one.step();
-        CHECK(one.asked_nothing(link) == drains);
+        CHECK(Crossing::asked_nothing(link) == drains);
     }
 }
 
@@ -133,7 +135,7 @@
     one.act();
     CHECK(one.pool.to_write() == 1);
     auto link = accept(one.cache);
-    CHECK(one.asked_nothing(link));
+    CHECK(Crossing::asked_nothing(link));
     one.steps([&] { return Quiet::readable(link); });
     CHECK(request(link).find("X-Hop-Id: 9b1f03aa5c7e2d41") != std::string::npos);
 }
@@ -184,6 +186,6 @@
     CHECK(one.turn.held() == 0);
     if (Quiet::readable(one.cache)) {
         auto link = accept(one.cache);
-        CHECK(one.asked_nothing(link));
+        CHECK(Crossing::asked_nothing(link));
     }
 }
--- a/tests/pipelining_test.cpp
+++ b/tests/pipelining_test.cpp
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <set>
 #include <vector>
 
@@ -47,10 +48,10 @@
 
 private:
     bool hear_client() {
-        char piece[4096];
-        auto length = ::read(client.fd, piece, sizeof piece);
+        std::array<char, 4096> piece;
+        auto length = ::read(client.fd, piece.data(), piece.size());
         if (length <= 0) return false;
-        unframed.append(piece, static_cast<std::size_t>(length));
+        unframed.append(piece.data(), static_cast<std::size_t>(length));
         while (unframed.size() >= 4) {
             auto size = 4 + bytes::Cursor(unframed).number(4);
             if (unframed.size() < size) break;
@@ -60,8 +61,8 @@
         return true;
     }
     void answer_one(const Socket& link) {
-        char piece[4096];
-        auto length = ::read(link.fd, piece, sizeof piece);
+        std::array<char, 4096> piece;
+        auto length = ::read(link.fd, piece.data(), piece.size());
         if (length <= 0) return;  // a connection that rested, and was closed
         asked++;
         link.send(answer("200 OK", "an object"));
@@ -160,7 +161,7 @@
 TEST_CASE(
     "a thousand clients that send much at once and leave take no lasting memory, and others are served") {
     constexpr int clients = 1000, requests_each = 1000;
-    constexpr std::size_t most_growth_kb = 2 * 1024;  // at least 4 MB of what is sent are read
+    constexpr std::size_t most_growth_kb = 2048;  // at least 4 MB of what is sent are read
     Serving one;
     auto much = requests(requests_each);
     auto leave = [&] {
--- a/tests/quiet.hpp
+++ b/tests/quiet.hpp
@@ -19,12 +19,12 @@
         launch.terms = terms();
         return launch;
     }
-    feed::Event caches(std::vector<CacheId> ids) {
+    static feed::Event caches(const std::vector<CacheId>& ids) {
         feed::Listing listing{.complete = true, .caches = {}};
         for (auto id : ids) listing.caches.push_back({{id, Listed::Ready, 6, 0, 7, 1, 0}, 0x7f000001, 1});
         return {1, listing};
     }
-    Arrived arrived(LookupId id, std::int32_t seq = 1) {
+    static Arrived arrived(LookupId id, std::int32_t seq = 1) {
         thrift::Lookup wanted;
         wanted.facts = lookup(id);
         wanted.facts.due = 0;
--- a/tests/reload_test.cpp
+++ b/tests/reload_test.cpp
@@ -28,17 +28,18 @@
 
 std::string ping(int seq) { return framed(head(1, "ping", seq) + std::string(1, '\0')); }
 
+// Waits until all that was sent on a client's connection before has been heard.
+void sync(const Socket& from, int seq) {
+    REQUIRE(from.send(ping(seq)));
+    CHECK(frame(from) == thrift::pong(seq, true));
+}
+
 std::string drain_of(const Listener& cache) { return cache_record(cache_id, cache.port, Listed::Draining); }
 
 // The program with its watch open, on which nothing has come so far: the program says that it is connected
 // once it has taken the first event.
 struct Watched : Serving {
     void hear(const std::string& text) { line(program.log, text); }
-    // Waits until all that was sent on a client's connection before has been heard.
-    void sync(const Socket& from, int seq) {
-        REQUIRE(from.send(ping(seq)));
-        CHECK(frame(from) == thrift::pong(seq, true));
-    }
     void reload(const Listener& at) {
         std::ofstream(file.path) << config(port, at.port, cache.port);
         REQUIRE(kill(program.pid, SIGHUP) == 0);
@@ -107,7 +108,7 @@
     // What the silent one says late, to a reader that has gone, brings nothing back.
     auto late = event_frame(3, EventKind::ListChange, cache_record(cache_id, one.cache.port, Listed::Ready));
     send_late(one.watch, late);
-    one.sync(later, 2);
+    sync(later, 2);
     one.not_sent_on(later, 3, "00000000000000a3");
 }
 
@@ -208,6 +209,6 @@
     CHECK(frame(one.client) == thrift::handled(1, "moved", false));
     order.send(answer("200 OK", "ordered"));
     CHECK(frame(one.client) == thrift::handled(2, "ordered", false));
-    one.sync(one.client, 3);  // no second answer to either
+    sync(one.client, 3);  // no second answer to either
     CHECK_FALSE(node::Quiet::readable(one.cache));
 }
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -1,6 +1,7 @@
 // The layout, the statistics and the simulated runs behind build/bench/scale.
 #include <doctest/doctest.h>
 
+#include <array>
 #include <numeric>
 #include <set>
 #include <stdexcept>
@@ -11,7 +12,7 @@
 
 namespace {
 
-constexpr int all_sizes[] = {100, 300, 1'000, 3'000, planned_routers};
+constexpr std::array all_sizes = {100, 300, 1'000, 3'000, planned_routers};
 
 ScenarioOptions short_run(std::uint64_t seed) {
     ScenarioOptions options;
--- a/tests/snapshot_page_test.cpp
+++ b/tests/snapshot_page_test.cpp
@@ -26,7 +26,7 @@
     MemberState state(std::uint64_t spread_ms) {
         MemberState state;
         state.life = started - upto(spread_ms);
-        if (one_in(4)) state.incarnation = static_cast<std::uint32_t>(upto((1u << 27) - 1) >> upto(26));
+        if (one_in(4)) state.incarnation = static_cast<std::uint32_t>(upto((1U << 27) - 1) >> upto(26));
         if (one_in(10)) state.ill = true;
         if (one_in(10)) state.verdict = static_cast<Verdict>(upto(2));
         if (one_in(10)) state.phase = static_cast<Phase>(upto(2));
@@ -50,7 +50,7 @@
 TEST_CASE("a page is read as it was written, holds what it says, and as much as fits") {
     Draw draw(7);
     for (int run = 0; run < 2000; run++) {
-        std::uint64_t spread = 1ull << draw.upto(40);
+        std::uint64_t spread = 1ULL << draw.upto(40);
         auto states = drawn_states(draw, 1 + draw.upto(1500), spread, draw.upto(8));
         auto first = static_cast<Number>(draw.upto(routers - states.size()));
         auto page = largest_page(first, states, room);
@@ -75,7 +75,7 @@
     int members = 0;
     for (int run = 0; run < 100; run++) {
         std::vector<MemberState> states(100);
-        for (auto& one : states) one.life = started - draw.upto(3 * 86'400'000);
+        for (auto& one : states) one.life = started - draw.upto(std::uint64_t{3} * 86'400'000);
         members += largest_page(0, states, room)->members;
     }
     CHECK(100 * room * 8 / static_cast<double>(members) < 31.5);
@@ -94,7 +94,7 @@
 TEST_CASE("pages that are cut, padded, changed, or out of range are no pages, or read as another one") {
     Draw draw(13);
     for (int run = 0; run < 20; run++) {
-        auto states = drawn_states(draw, 80, 1ull << 31, 7);
+        auto states = drawn_states(draw, 80, 1ULL << 31, 7);
         auto page = largest_page(100, states, room);
         REQUIRE(page);
         auto bytes = pack(*page);
@@ -105,7 +105,7 @@
         CHECK(!unpack(bytes, page->end() - 1, latest));
         CHECK(unpack(bytes, page->end(), latest));
         // Its latest life is past the bound.
-        CHECK(!unpack(bytes, routers, started - (1ull << 32)));
+        CHECK(!unpack(bytes, routers, started - (1ULL << 32)));
         for (std::size_t bit = 0; bit < bytes.size() * 8; bit++) {
             auto changed = bytes;
             changed[bit / 8] = static_cast<char>(changed[bit / 8] ^ (0x80 >> (bit % 8)));
@@ -171,6 +171,6 @@
     CHECK(got.message->page == page.page);
     CHECK(got.message->complete);
     CHECK(decode(encode(page), 99, now).why == Dropped::OutOfRange);
-    page.page->accounts[0].member_state.life = started + 2 * 86'400'000;
+    page.page->accounts[0].member_state.life = started + Life{2} * 86'400'000;
     CHECK(why(page) == Dropped::OutOfRange);
 }
--- a/tests/startup_test.cpp
+++ b/tests/startup_test.cpp
@@ -1,6 +1,7 @@
 // Starts of the real program, many at once and on busy cores: each has to serve within its time limit.
 #include <sys/stat.h>
 
+#include <array>
 #include <chrono>
 #include <filesystem>
 #include <memory>
@@ -33,6 +34,8 @@
             children.push_back(child);
         }
     }
+    BusyProcesses(const BusyProcesses&) = delete;
+    BusyProcesses& operator=(const BusyProcesses&) = delete;
     ~BusyProcesses() {
         for (auto child : children) {
             kill(child, SIGKILL);
@@ -62,6 +65,8 @@
         std::ofstream(path) << config(reserved.port, coordinator.port, cache.port);
         program = std::make_unique<Program>(path);
     }
+    Start(const Start&) = delete;
+    Start& operator=(const Start&) = delete;
     ~Start() { std::remove(path.c_str()); }
     // Whether it says that it serves, takes a connection and answers a ping on it, all before `limit`.
     bool serves(SteadyClock::time_point limit) {
@@ -82,10 +87,10 @@
             auto left = std::chrono::duration_cast<std::chrono::milliseconds>(limit - SteadyClock::now());
             pollfd ready{from.fd, POLLIN, 0};
             if (left.count() <= 0 || poll(&ready, 1, static_cast<int>(left.count())) != 1) return false;
-            char piece[4096];
-            auto length = ::read(from.fd, piece, sizeof piece);
+            std::array<char, 4096> piece;
+            auto length = ::read(from.fd, piece.data(), piece.size());
             if (length <= 0) return false;
-            got.append(piece, static_cast<std::size_t>(length));
+            got.append(piece.data(), static_cast<std::size_t>(length));
         }
         return true;
     }
@@ -109,6 +114,7 @@
     for (int batch = 0; batch < batches; batch++) {
         auto limit = SteadyClock::now() + ready_within;
         std::vector<std::unique_ptr<Start>> starts;
+        starts.reserve(routers_at_once);
         for (int i = 0; i < routers_at_once; i++)
             starts.push_back(std::make_unique<Start>("/tmp/quillgrade_start_" + std::to_string(getpid()) +
                                                      "_" + std::to_string(i)));
--- a/tests/state_transfer_test.cpp
+++ b/tests/state_transfer_test.cpp
@@ -12,6 +12,7 @@
 constexpr Micros ms = 1000, second = 1000 * ms, noon_at = 1'764'576'000 * second;
 
 using transfer_scenarios::all_fit;
+using transfer_scenarios::Alone;
 
 }  // namespace
 
@@ -22,10 +23,10 @@
 }
 
 TEST_CASE("a page in another's name, or out of range, changes nothing") {
-    transfer_scenarios::Alone one(20);
+    Alone one(20);
     auto asked = one.next_request();
     REQUIRE(asked);
-    auto page = one.page(asked->first, {1, 19, {transfer_scenarios::Alone::account_of(8)}}, true);
+    auto page = Alone::page(asked->first, {1, 19, {Alone::account_of(8)}}, true);
     auto other = asked->first == 4 ? 5 : 4;
     one.membership->hear(other, encode(page), one.now);
     one.membership->hear(-1, encode(page), one.now);
@@ -33,7 +34,7 @@
     CHECK(dropped[static_cast<std::size_t>(Dropped::Source)] == 2);
     page.page = SnapshotPage{10, 20, {}};
     one.hear(page);
-    auto bytes = encode(one.page(asked->first, {1, 19, {}}, true));
+    auto bytes = encode(Alone::page(asked->first, {1, 19, {}}, true));
     one.membership->hear(asked->first, bytes.substr(0, bytes.size() - 4), one.now);
     CHECK(dropped[static_cast<std::size_t>(Dropped::OutOfRange)] +
               dropped[static_cast<std::size_t>(Dropped::Malformed)] ==
