Keep the JSON form of the hollow run's messages apart from the messages themselves

messages.hpp brought the JSON library into every source of the hollow run that names a message. Encoding and decoding are in message_lines.hpp now, which the three ends of a socket pair include. Moved, nothing else changed; hollow_test is also mended where the linter found something.

--- a/src/rig/hollow/children.cpp
+++ b/src/rig/hollow/children.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "rig/hollow/message_lines.hpp"
+
 namespace quillgrade::rig::hollow {
 
 Children::Children(std::string program, std::string log_file, std::size_t workers, std::size_t machines)
--- a/src/rig/hollow/control_machine.cpp
+++ b/src/rig/hollow/control_machine.cpp
@@ -11,7 +11,7 @@
 #include "bytes/bytes.hpp"
 #include "node/loop.hpp"
 #include "rig/hollow/line_channel.hpp"
-#include "rig/hollow/messages.hpp"
+#include "rig/hollow/message_lines.hpp"
 #include "rig/local.hpp"
 
 namespace quillgrade::rig::hollow {
--- a/src/rig/hollow/worker.cpp
+++ b/src/rig/hollow/worker.cpp
@@ -7,6 +7,7 @@
 
 #include "rig/hollow/hollow_router.hpp"
 #include "rig/hollow/line_channel.hpp"
+#include "rig/hollow/message_lines.hpp"
 
 namespace quillgrade::rig::hollow {
 
--- a/tests/hollow_test.cpp
+++ b/tests/hollow_test.cpp
@@ -1,11 +1,11 @@
 // Hollow runs: what they measure is what happened, and nothing is left behind. By the program where processes
 // matter.
 #include <doctest/doctest.h>
-#include <signal.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <array>
+#include <csignal>
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
@@ -17,6 +17,7 @@
 #include "rig/hollow/arrival_log.hpp"
 #include "rig/hollow/false_deaths.hpp"
 #include "rig/hollow/member_table.hpp"
+#include "rig/hollow/message_lines.hpp"
 #include "rig/hollow/publisher.hpp"
 #include "rig/hollow/run_result.hpp"
 #include "rig/hollow/tier.hpp"
@@ -36,8 +37,8 @@
         std::vector<const char*> words = {QUILLGRADE_HOLLOW_PROGRAM, "run"};
         words.insert(words.end(), options.begin(), options.end());
         words.push_back(nullptr);
-        int ends[2];
-        REQUIRE(pipe(ends) == 0);
+        std::array<int, 2> ends{};
+        REQUIRE(pipe(ends.data()) == 0);
         process = fork();
         if (process == 0) {
             dup2(ends[pipe_write_end], STDOUT_FILENO);
@@ -106,14 +107,17 @@
 }
 
 std::string own_folder() {
-    char name[] = "/tmp/quillgrade_hollow_test_XXXXXX";
-    REQUIRE(mkdtemp(name) != nullptr);
+    std::string name = "/tmp/quillgrade_hollow_test_XXXXXX";
+    REQUIRE(mkdtemp(name.data()) != nullptr);
     return name;
 }
 
 struct Folder {
-    std::string path = own_folder();
+    Folder() = default;
+    Folder(const Folder&) = delete;
+    Folder& operator=(const Folder&) = delete;
     ~Folder() { std::filesystem::remove_all(path); }
+    std::string path = own_folder();
 };
 
 }  // namespace
@@ -209,7 +213,8 @@
     log.begin_life(1, 1);
     log.begin_life(2, 2);  // it knows the event 2 from its configuration
     log.arrived(2, 2, start + 900'000);
-    for (int router = 0; router < 2; router++) log.arrived(router, 2, start + 110'000 + router * 5'000);
+    for (int router = 0; router < 2; router++)
+        log.arrived(router, 2, start + 110'000 + Micros{router} * 5'000);
     for (int router = 0; router < 2; router++) log.arrived(router, 3, start + 120'000);
     CHECK(figures.missing(2) == 0);
     CHECK(figures.missing(3) == 1);
