--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -6,7 +6,7 @@
 
 TEST_CASE("a refused connection proves that nothing ran") {
     Quiet quiet;
-    quiet.pool.list(std::get<feed::Listing>(quiet.caches({1}).what));
+    quiet.pool.list(std::get<feed::Listing>(Quiet::caches({1}).what));
     quiet.send(0, test_second);
     quiet.pump([&] { return !quiet.gathered.empty(); });
     REQUIRE(quiet.gathered_of<Landed>().size() == 1);
@@ -21,12 +21,12 @@
     Listener cache;
     quiet.send(cache.port, 0);
     auto link = quiet.asked(cache);
-    quiet.pool.list(std::get<feed::Listing>(quiet.caches({2}).what));
+    quiet.pool.list(std::get<feed::Listing>(Quiet::caches({2}).what));
     CHECK(quiet.pool.caches() == 1);
     REQUIRE(link.send("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"));
     CHECK(quiet.landed().outcome == Outcome::Miss);
     CHECK(quiet.pool.links() == 0);
-    auto gone = std::get<feed::Listing>(quiet.caches({2}).what);
+    auto gone = std::get<feed::Listing>(Quiet::caches({2}).what);
     gone.complete = false;
     gone.caches[0].entry.listed = Listed::Gone;
     quiet.pool.list(gone);
@@ -39,7 +39,7 @@
     Listener before, after;
     quiet.send(before.port, 0);
     auto old = quiet.asked(before);
-    auto gone = std::get<feed::Listing>(quiet.caches({1}).what);
+    auto gone = std::get<feed::Listing>(Quiet::caches({1}).what);
     gone.complete = false;
     gone.caches[0].entry.listed = Listed::Gone;
     quiet.pool.list(gone);
@@ -56,7 +56,7 @@
 
 TEST_CASE("a pool that is full sends nothing and says so, whatever the cache") {
     Quiet quiet;
-    quiet.pool.list(std::get<feed::Listing>(quiet.caches({1}).what));
+    quiet.pool.list(std::get<feed::Listing>(Quiet::caches({1}).what));
     for (int round : {0, 1, 2}) quiet.send(round, test_second);
     CHECK(quiet.pool.links() == 2);
     REQUIRE(quiet.gathered_of<Landed>().size() == 1);
@@ -66,7 +66,7 @@
 
 TEST_CASE("a transmission given up before it was written never ran") {
     Quiet quiet;
-    quiet.pool.list(std::get<feed::Listing>(quiet.caches({1}).what));
+    quiet.pool.list(std::get<feed::Listing>(Quiet::caches({1}).what));
     quiet.send(0, test_second);
     quiet.pool.give_up(9, 0);
     REQUIRE(quiet.gathered_of<Landed>().size() == 1);
--- a/tests/silent_list_test.cpp
+++ b/tests/silent_list_test.cpp
@@ -54,7 +54,7 @@
     REQUIRE(old.send(purge(5)));
     one.pump([&] { return one.events() == 1; });
     REQUIRE(old.send(purge(6)));  // not read yet
-    one.coordinator.move_to(one.address(one.second));
+    one.coordinator.move_to(Watched::address(one.second));
     auto moved = one.connected(one.second, 5);
     REQUIRE(moved.send(purge(6)));
     one.pump([&] { return one.events() == 2; });
@@ -65,7 +65,7 @@
     Watched one;
     auto mute = one.connected(one.first, 4);
     auto start = one.clock.now();
-    one.coordinator.move_to(one.address(one.second));
+    one.coordinator.move_to(Watched::address(one.second));
     one.connected(one.second, 4);
     CHECK(one.clock.now() - start < test_second);
 }
