--- a/bench/matching.cpp
+++ b/bench/matching.cpp
@@ -28,7 +28,7 @@
 }
 #pragma GCC diagnostic ignored "-Wmismatched-new-delete"  // both are replaced here, by the same
 void operator delete(void* at) noexcept { std::free(at); }
-void operator delete(void* at, std::size_t) noexcept { std::free(at); }
+void operator delete(void* at, std::size_t /*bytes*/) noexcept { std::free(at); }
 
 using namespace quillgrade;
 using Clock = std::chrono::steady_clock;
@@ -171,6 +171,7 @@
     std::string folder = mkdtemp(name.data());
     rig::World world;
     std::vector<int> ports;
+    ports.reserve(2);
     for (int i = 0; i < 2; i++) ports.push_back(world.port_of_box(world.add_box()));
     int port = rig::free_port();
     std::ofstream(folder + "/config.json") << rig::config_of(port, world.coordinator_port(), ports);
--- a/src/discovery/contact.hpp
+++ b/src/discovery/contact.hpp
@@ -23,8 +23,8 @@
         std::vector<int> open, close;  // places of services, in the order in which it is to be done
         Micros look_in = 0;            // when to call next() again at the latest, from now
     };
-    // `services` >= 1; `seed` gives the jitter.
-    Contact(int services, std::uint64_t seed);
+    // `count` of services >= 1; `seed` gives the jitter.
+    Contact(int count, std::uint64_t seed);
 
     Step next(Micros now);
     void answered(int service, Micros now);       // its first whole response has come
--- a/src/drill/main.cpp
+++ b/src/drill/main.cpp
@@ -18,11 +18,11 @@
             while (batch.size() < bytes) {  // grown as it comes, so that a wrong length costs no memory
                 auto had = batch.size();
                 batch.resize(std::min<std::size_t>(bytes, had + (1U << 20)));
-                if (!std::cin.read(batch.data() + had, batch.size() - had))
-                    throw BadInput("a frame is cut short");
+                auto wanted = static_cast<std::streamsize>(batch.size() - had);
+                if (!std::cin.read(batch.data() + had, wanted)) throw BadInput("a frame is cut short");
             }
             auto reply = drill.answer(batch);
-            std::cout.write(reply.data(), reply.size()).flush();
+            std::cout.write(reply.data(), static_cast<std::streamsize>(reply.size())).flush();
         }
         if (std::cin.gcount() != 0) throw BadInput("a frame is cut short");
     } catch (const BadInput& error) {
--- a/src/node/link.hpp
+++ b/src/node/link.hpp
@@ -31,7 +31,7 @@
     };
     Link(const Shared& shared, CacheId cache, const feed::Address& address, std::uint64_t process);
 
-    void run(const Attempt& attempt);        // nothing is written yet
+    void run(const Attempt& wanted);         // nothing is written yet
     void ask(const http::Request& request);  // what was decided still holds: writes it
     void refuse();                           // it doesn't: the attempt ends, and nothing ran
     void give_up();                          // the attempt is no longer wanted: the connection is closed
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -25,9 +25,9 @@
 
 class Node {
 public:
-    // `plan`: the operators' file; what it does not name does not exist. `plan_again` reads it anew on SIGHUP
+    // `told`: the operators' file; what it does not name does not exist. `plan_again` reads it anew on SIGHUP
     // and may throw; null: there is no such file.
-    explicit Node(const launch::Launch& launch, operate::Plan plan = {},
+    explicit Node(const launch::Launch& launch, operate::Plan told = {},
                   std::function<operate::Plan()> plan_again = nullptr);
     void told_before(bool leave, bool read);  // what signals have told before there was a node
     void run();                               // until Over
--- a/src/node/sharing.cpp
+++ b/src/node/sharing.cpp
@@ -27,7 +27,7 @@
 
 Sharing::Sharing(PeerPort& peers, const operate::Sharing& plan, const launch::Launch& launch, Clock& clock,
                  Turn& turn)
-    : peers(peers), turn(turn), exchange(peers.membership(), terms_of(plan, launch, clock)) {
+    : turn(turn), exchange(peers.membership(), terms_of(plan, launch, clock)) {
     turn.share(&exchange);
     std::string parts;
     for (auto& [on, name] : {std::pair(plan.facts, "facts"), std::pair(plan.quotas, "rights"),
--- a/src/node/sharing.hpp
+++ b/src/node/sharing.hpp
@@ -29,7 +29,6 @@
 private:
     void say(const shared::Facts::Changes& changes, Micros now);
 
-    PeerPort& peers;
     Turn& turn;
     shared::Exchange exchange;
     Micros say_at = 0;
--- a/src/node/steering.hpp
+++ b/src/node/steering.hpp
@@ -58,7 +58,6 @@
     std::map<int, Connection> connections;  // by the service's place
     std::vector<std::string> told_lost;     // by place: what was logged last
     version::StreamId last_stream = 0;
-    std::uint64_t said_turned_down = 0;
     bool started = false;
     std::shared_ptr<const route::RuleSet> running_rules;
     Timer wake;
--- a/src/rig/publish.hpp
+++ b/src/rig/publish.hpp
@@ -17,6 +17,6 @@
 //   "cell": 1, "state": "READY", "weight": 4, "started_ms": 0}], "emptied": [], "name": "school"}
 // or {"version": 1, "amounts": {"transmissions": 2, …}}. Nothing of it is checked beyond its shape: bad
 // values are the router's to turn down. Throws std::runtime_error.
-Publication read_publication(const std::string& json);
+Publication read_publication(const std::string& text);
 
 }  // namespace quillgrade::rig
--- a/src/rig/world.hpp
+++ b/src/rig/world.hpp
@@ -98,8 +98,8 @@
     Router& operator=(const Router&) = delete;
     ~Router();
     int pid() const { return process; }
-    // True once the log holds `text`; false after `seconds`, or when the program has ended without it.
-    bool says(const std::string& text, double seconds = 10);
+    // True once the log holds `wanted`; false after `seconds`, or when the program has ended without it.
+    bool says(const std::string& wanted, double seconds = 10);
     std::string log();
     std::string take_log();  // what came since the last call; what was taken is not in log() any more
     bool ended();            // it has, and wait() will not wait
