--- a/src/node/steering.cpp
+++ b/src/node/steering.cpp
@@ -43,7 +43,7 @@
         auto opened = vault::Vault::open(*store);
         if (!opened.said.empty()) log::warning("{}", opened.said);
         vault = std::move(opened.vault);
-        if (opened.kept) start_from(std::move(*opened.kept));
+        if (opened.kept) start_from(*opened.kept);
     }
     move_to(control.services);
 }
--- a/tests/last_ping_test.cpp
+++ b/tests/last_ping_test.cpp
@@ -31,7 +31,7 @@
     constexpr Micros settled_after = 80 * second, watched_for = 18 * second;
     constexpr std::size_t most_bytes = 5'000;
     rig::Simulated<> fleet(routers, zones, 1);
-    fleet.running_for = [](int who) { return who * 60 * second; };
+    fleet.running_for = [](int who) { return Micros{who} * 60 * second; };
     fleet.start_all();
     fleet.run_until(fleet.now() + settled_after);
 
