Repair by digests what gossip has missed of the ends of one-sided cuts

At fault: link reports go by gossip alone (Reachability::to_tell, so many times each) and, other than accounts, have no repair. Whom the last telling misses keeps the cut until it expires after a minute.

Change: a digest names up to six cuts that its sender holds, all in turn (Reachability::next_cuts); who knows the end of one answers with it (ended_of, Membership::compare). What a digest names is not taken over as news: two routers could tell each other for good of a cut whose listener has gone. No new field; link reports in digests were gossip before.

--- a/src/peers/membership.cpp
+++ b/src/peers/membership.cpp
@@ -202,9 +202,8 @@
         if (known == about->member_state && known.verdict == Verdict::Suspected)
             accuse(one.accused, one.accuser, one.age, now);
     }
-    for (auto& one : message.link_reports)
-        if (reachability.told(one, at(one.listener).member_state.life, now))
-            note_cut(one.speaker, one.listener, one.cut, message.from, now);
+    // Those of a digest are what its sender holds, no news: taken as news, a cut would never expire.
+    if (message.kind != Kind::Digest) take_link_reports(message, now);
 
     switch (message.kind) {
         case Kind::Ping:
@@ -257,6 +256,12 @@
     note_ended_cuts(ended_cuts, by, now);
 }
 
+void Membership::take_link_reports(const Message& message, Micros now) {
+    for (auto& report : message.link_reports)
+        if (reachability.told(report, at(report.listener).member_state.life, now))
+            note_cut(report.speaker, report.listener, report.cut, message.from, now);
+}
+
 // What others say of this router. A new word of its own answers an accusation; a new life whatever this life
 // can't have said: another life, an end, an incarnation beyond all.
 void Membership::about_me(const MemberState& told) {
@@ -677,8 +682,10 @@
     if (first.empty()) {
         auto spare = room - static_cast<double>(base) - tags;
         if (spare > link_report_bytes) {
-            message.link_reports = reachability.to_tell(
-                std::min<std::size_t>(6, static_cast<std::size_t>(spare / link_report_bytes)), gossip.most());
+            if (message.kind != Kind::Digest && message.link_reports.empty())
+                message.link_reports = reachability.to_tell(
+                    std::min(most_link_reports, static_cast<std::size_t>(spare / link_report_bytes)),
+                    gossip.most());
             auto places = static_cast<std::size_t>(
                 std::max(0.0, spare - static_cast<double>(message.link_reports.size() * link_report_bytes)) /
                 account_bytes);
--- a/src/peers/membership.hpp
+++ b/src/peers/membership.hpp
@@ -212,6 +212,7 @@
     // Whether what is new here is told to others by gossip.
     enum class Spread { Yes, No };
     void take(const Account& account, Number by, Micros now, Spread spreading = Spread::Yes);
+    void take_link_reports(const Message& message, Micros now);
     void about_me(const MemberState& told);
     void accuse(Number who, Number accuser, Micros age, Micros now);
     void judge(Micros now);
--- a/src/peers/membership_anti_entropy.cpp
+++ b/src/peers/membership_anti_entropy.cpp
@@ -53,6 +53,7 @@
         digest.hashes.push_back(hash);
     }
     if (blocks > most_hashes) window = (window + most_hashes * block) % routers();
+    digest.link_reports = reachability.next_cuts(most_link_reports);
     send(to[0], digest, SendPriority::Spare, now);
 }
 
@@ -78,10 +79,12 @@
     // What has changed last here is the likeliest to be unknown there.
     std::stable_sort(unlike_here.begin(), unlike_here.end(),
                      [this](auto& a, auto& b) { return at(a.who).changed > at(b.who).changed; });
-    if (unlike_here.empty()) return;
-    unlike = std::min(unlike + 1, 4);
     Message news;
     news.kind = Kind::News;
+    // Gossip tells the end of a cut a bounded number of times, so now and then it misses a router.
+    news.link_reports = reachability.ended_of(digest.link_reports);
+    if (unlike_here.empty() && news.link_reports.empty()) return;
+    if (!unlike_here.empty()) unlike = std::min(unlike + 1, 4);
     // The other half of the room goes by chance, so that none is left out for good.
     for (std::size_t i = most_told / 2; i < std::min<std::size_t>(most_told, unlike_here.size()); i++) {
         boost::random::uniform_int_distribution<std::size_t> draw(i, unlike_here.size() - 1);
--- a/src/peers/message.hpp
+++ b/src/peers/message.hpp
@@ -13,9 +13,10 @@
 
 namespace quillgrade::peers {
 
-inline constexpr std::size_t longest = 256;  // bytes of a datagram, by the platform's protocol
-inline constexpr int most_pages = 4;         // that one request may ask for
-inline constexpr int block = 16;             // routers a hash of a digest covers
+inline constexpr std::size_t longest = 256;          // bytes of a datagram, by the platform's protocol
+inline constexpr int most_pages = 4;                 // that one request may ask for
+inline constexpr int block = 16;                     // routers a hash of a digest covers
+inline constexpr std::size_t most_link_reports = 6;  // that one datagram brings along
 
 enum class Kind { Ping = 1, Heard, Ask, No, Digest, News, RangeRequest, RangePage };
 
@@ -45,7 +46,7 @@
     bool direct = false;
     std::vector<Account> accounts;
     std::vector<Accusation> accusations;
-    std::vector<LinkReport> link_reports;
+    std::vector<LinkReport> link_reports;  // Digest: cuts that the sender holds, to be put right; else news
     Number first = 0;
     std::vector<std::uint32_t> hashes;
     std::string payload;  // of the piggyback, not looked into here
--- a/src/peers/reachability.cpp
+++ b/src/peers/reachability.cpp
@@ -17,6 +17,11 @@
     return found == facts.end() ? nullptr : &found->second;
 }
 
+const Reachability::Fact* Reachability::find(Number speaker, Number listener) const {
+    auto found = facts.find({speaker, listener});
+    return found == facts.end() ? nullptr : &found->second;
+}
+
 bool Reachability::say(Number speaker, bool cut, Micros now) {
     if (facts.size() >= most_facts && !find(speaker, self)) return false;
     facts[{speaker, self}] = {{speaker, self, ++statements, cut}, 0, now, 0};
@@ -80,8 +85,8 @@
 }
 
 bool Reachability::cut(Number speaker, Number listener) const {
-    auto found = facts.find({speaker, listener});
-    return found != facts.end() && found->second.what.cut;
+    auto* fact = find(speaker, listener);
+    return fact && fact->what.cut;
 }
 
 std::vector<LinkReport> Reachability::to_tell(std::size_t most, int times) {
@@ -105,6 +110,26 @@
     return all;
 }
 
+std::vector<LinkReport> Reachability::next_cuts(std::size_t most) {
+    auto all = cuts();
+    if (all.size() <= most) return all;
+    next_in_digest %= all.size();
+    std::rotate(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(next_in_digest), all.end());
+    all.resize(most);
+    next_in_digest += most;
+    return all;
+}
+
+std::vector<LinkReport> Reachability::ended_of(const std::vector<LinkReport>& held) const {
+    std::vector<LinkReport> ended;
+    for (auto& report : held) {
+        auto* known = find(report.speaker, report.listener);
+        if (report.cut && known && !known->what.cut && known->what.said > report.said)
+            ended.push_back(known->what);
+    }
+    return ended;
+}
+
 bool Reachability::doubtful(Number speaker) const {
     auto found = ears.find(speaker);
     return found != ears.end() && found->second.missed < misses && !cut(speaker, self);
--- a/src/peers/reachability.hpp
+++ b/src/peers/reachability.hpp
@@ -32,6 +32,10 @@
     std::vector<LinkReport> to_tell(std::size_t most, int times);
     // The pairs that are cut.
     std::vector<LinkReport> cuts() const;
+    // At most `most` of them for a digest, others at each call until all had their turn.
+    std::vector<LinkReport> next_cuts(std::size_t most);
+    // The ends that are known here of cuts that somebody else still holds.
+    std::vector<LinkReport> ended_of(const std::vector<LinkReport>& held) const;
     bool doubtful(Number speaker) const;  // misses, but not enough to say so: it is worth asking again
 
 private:
@@ -46,6 +50,7 @@
         Micros first = 0;
     };
     Fact* find(Number speaker, Number listener);
+    const Fact* find(Number speaker, Number listener) const;
     bool say(Number speaker, bool cut, Micros now);  // false where there is no room for one more fact
     template <class Ended>
     std::vector<LinkReport> drop_facts(Ended ended);
@@ -53,6 +58,7 @@
     std::map<std::pair<Number, Number>, Fact> facts;
     std::map<Number, Ear> ears;
     std::uint32_t statements = 0;
+    std::size_t next_in_digest = 0;
 };
 
 }  // namespace quillgrade::peers
