Give indirect probes two measured round trips, so that a region cut kills nobody

Seen: while two regions are cut from each other, living routers were declared dead by all: 556 pairs at 600 simulated routers, 24,420 at 1,000, 83,019 at 3,000 (docs/CAPACITY.md), though every other region hears both.

So most indirect probes of a cut pair failed: 1,041 accusations in 30 s, each refuted by gossip, some of them too late.

Until 32 are measured, a period is believed.

--- a/src/peers/membership.cpp
+++ b/src/peers/membership.cpp
@@ -3,13 +3,14 @@
 #include <algorithm>
 #include <boost/random/uniform_int_distribution.hpp>
 #include <cmath>
+#include <limits>
 #include <utility>
 
 namespace quillgrade::peers {
 
 namespace {
 
-constexpr Micros ms = 1000;
+constexpr Micros ms = 1000, never = std::numeric_limits<Micros>::max();
 constexpr int most_indirect_probes = 32, most_again = 2, most_probes = 8;
 constexpr std::size_t most_forced = 3;  // accounts that are told whatever they cost
 constexpr std::uint32_t most_incarnation = (1U << 27) - 1;
@@ -83,6 +84,7 @@
       reachability(start.self),
       gossip(start.routers),
       local_health(start.rates.gap, start.now),
+      round_trips(start.rates.period, start.now),
       byte_budget(budget_of(start.rates, start.now)),
       chance(static_cast<std::uint32_t>(start.seed ^ (start.seed >> 32) ^ start.life)),
       last_slot(probe_schedule.slot(start.now)),
@@ -357,7 +359,7 @@
     next_probe = next_probe % 0x3fff + 1;  // two bytes on the wire
     if (!send(target, ping, SendPriority::Probe, now)) return;
     auto wait = rates.period * local_health.stretch();
-    probes.push_back({ping.probe, target, now, now + rates.period / 6, now + wait});
+    probes.push_back({ping.probe, target, now, now + rates.period / 6, now + wait, now + wait});
     // Where one direction is known to be cut, helpers are asked at once, and the ping only tells whether it
     // still is.
     if (reachability.cut(number, target) || reachability.cut(target, number)) step(probes.back(), now);
@@ -380,7 +382,8 @@
 // from then on it is asked straight and through others, other ones each time. All that is known of zones goes
 // into the choice of helpers, since what cuts one off cuts off its neighbours.
 void Membership::step(Probe& probe, Micros now) {
-    probe.step_at = now + rates.period / 6 * local_health.stretch();
+    auto step_after = [&](Micros wait) { probe.step_at = now + wait < probe.asks_end ? now + wait : never; };
+    step_after(rates.period / 6 * local_health.stretch());
     // Whom it has accused already, it only tells so.
     auto* suspicion = suspicions.find(probe.target);
     bool said = suspicion && !suspicion->ask_first &&
@@ -388,7 +391,7 @@
     if (!thought_there(probe.target) || said) return;
     bool cut = reachability.cut(number, probe.target) || reachability.cut(probe.target, number);
     if (cut) {
-        probe.step_at = now + rates.period / 3 * local_health.stretch();
+        step_after(rates.period / 3 * local_health.stretch());
         probe.steps++;
     } else {
         Message ping;
@@ -406,9 +409,14 @@
         bool sent = send(helper, ask, SendPriority::Insist, now);
         probe.starved |= !sent;
         if (sent && probe.steps <= 3) probe.helpers++;
+        if (sent) probe.end = std::max(probe.end, now + time_through_helper(now));
     }
 }
 
+// Guards against accusations of routers that only others can reach, in a tier whose routers are far apart:
+// the answer to an indirect probe takes longer there than a period.
+Micros Membership::time_through_helper(Micros now) { return 2 * round_trips.longest(now); }
+
 // Up to `most` that are alive here, can be talked with both ways, and can talk with `but` as far as is known,
 // drawn at random, of as many zones as can be.
 std::vector<Number> Membership::pick(std::size_t most, Number but, int in_zone) {
@@ -524,6 +532,7 @@
         auto& probe = probes[i];
         if (probe.number != heard.probe) continue;
         if (heard.from == probe.target) {
+            round_trips.measured(now - probe.sent, now);
             if (probe.steps == 0) local_health.better();
             if (probe.steps > 1 && probe.noes < probe.helpers) local_health.worse();
             suspicions.asked(probe.target);
--- a/src/peers/membership.hpp
+++ b/src/peers/membership.hpp
@@ -38,6 +38,7 @@
 #include "peers/page_server.hpp"
 #include "peers/probe_schedule.hpp"
 #include "peers/reachability.hpp"
+#include "peers/round_trips.hpp"
 #include "peers/state_transfer.hpp"
 #include "peers/suspicion.hpp"
 
@@ -190,7 +191,9 @@
     struct Probe {
         std::uint32_t number;
         Number target;
-        Micros sent, step_at, end;
+        Micros sent, step_at;
+        Micros asks_end;  // from then on nobody is asked any more, and only answers are waited for
+        Micros end;
         bool starved = false, passed_on = false;
         int steps = 0, helpers = 0, noes = 0;
         Number helper = -1;
@@ -251,6 +254,7 @@
     bool thought_there(Number who) const;
     void step(Probe& probe, Micros now);
     void end_probe(const Probe& probe, Micros now);
+    Micros time_through_helper(Micros now);
     void look_again(Micros now);
     void send_digest(Micros now);
     std::vector<Number> pick(std::size_t most, Number but, int in_zone = -1);
@@ -269,6 +273,7 @@
     Reachability reachability;
     GossipQueue gossip;
     LocalHealth local_health;
+    RoundTrips round_trips;
     ByteBudget byte_budget;
     std::optional<StateTransfer> transfer;  // only with Rates::state_transfer, as the next
     std::optional<PageServer> page_server;
