Split membership.cpp by job: what comes, probes, suspicion, sending

Change: membership.cpp keeps what comes, what is due and the view (365 lines); membership_probes.cpp, _suspicion.cpp and _sending.cpp take the rest, each with its own constants. pass(), take(), answered(), answer_ping() and send() became functions with one step each. No behaviour changes.

--- a/src/peers/membership.hpp
+++ b/src/peers/membership.hpp
@@ -182,6 +182,8 @@
     bool transferring() const;
 
 private:
+    static constexpr std::size_t most_changes = 10'000;  // kept until they are fetched
+
     struct Member {
         MemberState member_state;
         Micros since = 0, heard = 0, changed = 0;
@@ -215,6 +217,8 @@
     // Whether what is new here is told to others by gossip.
     enum class Spread { Yes, No };
     void take(const Account& account, Number by, Micros now, Spread spreading = Spread::Yes);
+    void take_by_kind(const Message& message, Micros now);
+    void take_accusations(const Message& message, Micros now);
     void take_link_reports(const Message& message, Micros now);
     void about_me(const MemberState& told);
     void accuse(Number who, Number accuser, Micros age, Micros now);
@@ -230,8 +234,10 @@
     void pass_on(Micros now);
     void tell_some(std::size_t many, Micros now);
 
+    std::vector<Account> corrections_to(const Message& ping) const;
     void answer_ping(const Message& ping, Micros now);
     void answered(const Message& heard, Micros now);
+    void pass_answer_on(const Message& heard, Micros now);
     void probe_for_another(const Message& ask, Micros now);
     void compare(const Message& digest, Micros now);
     bool knows_all(Micros now) const;
@@ -249,6 +255,9 @@
     double bytes_left(Micros now);
     void spend(std::size_t bytes);
 
+    void probe_in_slot(Micros now);
+    void step_probes(Micros now);
+    void say_no_to_askers(Micros now);
     void probe(Number target, Micros now);
     bool awaits_account(Number who) const;
     bool thought_there(Number who) const;
@@ -260,6 +269,11 @@
     std::vector<Number> pick(std::size_t most, Number but, int in_zone = -1);
     bool send(Number to, Message message, SendPriority priority, Micros now,
               const std::vector<Account>& first = {}, bool for_piggyback = false);
+    void add_news(Number to, Message& message, const std::vector<Account>& first, double left, Micros now);
+    void add_accusation_of_receiver(Number to, Message& message, Micros now);
+    void add_gossip(Message& message, double room, Micros now);
+    bool add_account(Number who, Message& message, double room, Micros now) const;
+    void load_payload(Number to, Message& message, std::string& bytes, double bytes_free, Micros now);
     Member& at(Number who) { return members[static_cast<std::size_t>(who)]; }
     const Member& at(Number who) const { return members[static_cast<std::size_t>(who)]; }
 
