Name the conditions of simulated links by what they are

Change: rig::LinkConditions with shortest_delay, longest_delay and duplicated; Datagrams::set_all, set_link_conditions in scripts. The member "weather" of a script file keeps its name.

--- a/bench/shared_state.cpp
+++ b/bench/shared_state.cpp
@@ -59,7 +59,7 @@
     peers::Rates rates;
     rates.bytes_per_s = bytes_per_s;
     auto fleet = std::make_unique<SharedFleet>(routers, 1, seed, rates,
-                                               rig::Weather{loss, 3 * ms, 24 * ms, 0.001, 0.01});
+                                               rig::LinkConditions{loss, 3 * ms, 24 * ms, 0.001, 0.01});
     running = fleet.get();
     fleet->start_all();
     // A start of all is still being told among a thousand; who is there matters little here.
--- a/src/rig/fleet/datagrams.cpp
+++ b/src/rig/fleet/datagrams.cpp
@@ -75,7 +75,7 @@
 std::string Datagrams::door(int router) const { return text(door_at[static_cast<std::size_t>(router)]); }
 std::string Datagrams::listen(int router) const { return text(listen_at[static_cast<std::size_t>(router)]); }
 
-void Datagrams::weather(const Passage& all) {
+void Datagrams::set_all(const Passage& all) {
     std::lock_guard hold(lock);
     passage = all;
 }
--- a/src/rig/fleet/datagrams.hpp
+++ b/src/rig/fleet/datagrams.hpp
@@ -37,7 +37,7 @@
     std::string door(int router) const;    // what other routers call it
     std::string listen(int router) const;  // where it listens itself, an address that no other has
     const sockaddr_in& address(int router) const { return listen_at[static_cast<std::size_t>(router)]; }
-    void weather(const Passage& all);  // of all pairs; cuts stay
+    void set_all(const Passage& all);  // of all pairs; cuts stay
     void cut(int from, int to, bool yes);
     // Sends straight to where the router listens, from an address that no list names; or, `as` not -1, from
     // the door of that router.
--- a/src/rig/fleet/script.cpp
+++ b/src/rig/fleet/script.cpp
@@ -37,7 +37,7 @@
                  operators_file(script), script.value("parents", 0),
                  static_cast<Micros>(script.value("cold_s", 0.0) * 1e6), programs.environment}) {
         out.begun = unix_now();
-        if (script.contains("weather")) weather(script.at("weather"));
+        if (script.contains("weather")) set_link_conditions(script.at("weather"));
         byte_budget = script.value("peers", json::object()).value("bytes_per_s", 300.0);
     }
 
@@ -253,14 +253,14 @@
         out.processes++;
         killed_at.erase(router);
     }
-    void weather(const json& told) {
+    void set_link_conditions(const json& told) {
         Passage passage;
         passage.loss = told.value("loss", 0.0);
         passage.least_ms = told.value("least_ms", 0);
         passage.most_ms = told.value("most_ms", 0);
         passage.late = told.value("late", 0.0);
         passage.twice = told.value("twice", 0.0);
-        fleet.datagrams().weather(passage);
+        fleet.datagrams().set_all(passage);
         lossy = passage.loss > 0.1;
     }
     void cut(const json& told, bool yes) {
@@ -316,7 +316,7 @@
         });
         if (one.contains("cut")) cut(one.at("cut"), true);
         if (one.contains("join")) cut(one.at("join"), false);
-        if (one.contains("weather")) weather(one.at("weather"));
+        if (one.contains("weather")) set_link_conditions(one.at("weather"));
         if (one.contains("clock"))
             for (auto router : numbers(one.at("clock").at("of")))
                 fleet.disturbed(router),
--- a/src/rig/simulated.hpp
+++ b/src/rig/simulated.hpp
@@ -19,11 +19,11 @@
 
 namespace quillgrade::rig {
 
-struct Weather {
-    double loss = 0;                             // share of datagrams
-    peers::Micros least = 3'000, most = 24'000;  // delay one way
-    double late = 0;                             // share that takes a second more
-    double twice = 0;                            // share that comes twice
+struct LinkConditions {
+    double loss = 0;                                               // share of datagrams
+    peers::Micros shortest_delay = 3'000, longest_delay = 24'000;  // one way
+    double late = 0;                                               // share that takes a second more
+    double duplicated = 0;                                         // share that comes twice
 };
 
 template <class Protocol = peers::Membership>
@@ -40,8 +40,13 @@
         peers::Figures before;                             // of earlier lives
     };
 
-    Simulated(int count, int zones, std::uint64_t seed, const peers::Rates& rates = {}, Weather weather = {})
-        : weather(weather), rates(rates), zones(zones), chance(static_cast<std::uint32_t>(seed)), seed(seed) {
+    Simulated(int count, int zones, std::uint64_t seed, const peers::Rates& rates = {},
+              LinkConditions conditions = {})
+        : conditions(conditions),
+          rates(rates),
+          zones(zones),
+          chance(static_cast<std::uint32_t>(seed)),
+          seed(seed) {
         routers.resize(static_cast<std::size_t>(count));
         // Clocks up to 20 ms apart.
         for (auto& one : routers)
@@ -134,7 +139,7 @@
     // How long a router is taken to have been running at its first start here: lives are apart so, as they
     // are in a tier that was not started at once.
     std::function<Micros(int who)> running_for;
-    Weather weather;
+    LinkConditions conditions;
 
 private:
     struct Event {
@@ -199,12 +204,13 @@
     }
     void send(int from, int to, std::string bytes) {
         if (on_send) on_send(from, to, bytes);
-        if (cuts.contains({from, to}) || unit() < weather.loss) return;
+        if (cuts.contains({from, to}) || unit() < conditions.loss) return;
         auto datagram = std::make_shared<std::string>(std::move(bytes));
-        for (int copies = unit() < weather.twice ? 2 : 1; copies > 0; copies--) {
-            auto spread = static_cast<int>(weather.most - weather.least);
-            auto delay = weather.least + boost::random::uniform_int_distribution<int>(0, spread)(chance);
-            if (unit() < weather.late) delay += 1'000'000;
+        for (int copies = unit() < conditions.duplicated ? 2 : 1; copies > 0; copies--) {
+            auto spread = static_cast<int>(conditions.longest_delay - conditions.shortest_delay);
+            auto delay =
+                conditions.shortest_delay + boost::random::uniform_int_distribution<int>(0, spread)(chance);
+            if (unit() < conditions.late) delay += 1'000'000;
             push(time + delay, datagram, nullptr, from, to);
         }
     }
--- a/tests/cut_repair_test.cpp
+++ b/tests/cut_repair_test.cpp
@@ -53,11 +53,11 @@
 // How long after its end a cut from 2 to 6 was held by any of eight routers; at most `limit`.
 Micros time_until_forgotten(std::uint64_t seed, Micros limit) {
     constexpr int routers = 8, zones = 2, from = 2, to = 6;
-    rig::Weather weather;
-    weather.loss = 0.05;
-    weather.late = 0.002;
-    weather.twice = 0.01;
-    rig::Simulated<> fleet(routers, zones, seed, {}, weather);
+    rig::LinkConditions conditions;
+    conditions.loss = 0.05;
+    conditions.late = 0.002;
+    conditions.duplicated = 0.01;
+    rig::Simulated<> fleet(routers, zones, seed, {}, conditions);
     auto holders = [&] {
         int count = 0;
         for (int who = 0; who < routers; who++) count += holds_cut(*fleet.protocol(who), from, to);
--- a/tests/flaws/shared_flaws.cpp
+++ b/tests/flaws/shared_flaws.cpp
@@ -25,8 +25,9 @@
 // A fleet whose routers all want a parent that has just started; what it got is judged from outside.
 class Scene {
 public:
-    Scene(int routers, std::uint64_t seed, rig::Weather weather = {0.05, 3 * ms, 24 * ms, 0.002, 0.02},
-          Micros lease = 2 * second, double per_s = 20)
+    Scene(int routers, std::uint64_t seed,
+          rig::LinkConditions conditions = {0.05, 3 * ms, 24 * ms, 0.002, 0.02}, Micros lease = 2 * second,
+          double per_s = 20)
         : per_s(per_s), chance(static_cast<std::uint32_t>(seed)) {
         auto& terms = rig::partner_terms();
         terms.exchange = {};
@@ -35,7 +36,7 @@
         terms.steady = [this] { return fleet ? fleet->now() : noon_at; };
         peers::Rates rates;
         rates.bytes_per_s = 600;
-        fleet = std::make_unique<SharedFleet>(routers, 1, seed, rates, weather);
+        fleet = std::make_unique<SharedFleet>(routers, 1, seed, rates, conditions);
         fleet->start_all();
         fleet->run_until(fleet->now() + 15 * second);
         started = fleet->now();
--- a/tests/flaws/transfer_scenarios.hpp
+++ b/tests/flaws/transfer_scenarios.hpp
@@ -13,8 +13,8 @@
 namespace quillgrade::transfer_scenarios {
 
 using namespace peers;
+using rig::LinkConditions;
 using rig::Simulated;
-using rig::Weather;
 
 inline constexpr Micros ms = 1000, second = 1000 * ms, day = 86'400 * second;
 inline constexpr int bytes_in_two_seconds = 2 * 4096;
@@ -49,8 +49,8 @@
 class Tier {
 public:
     explicit Tier(int count, std::uint64_t seed, Rates rates = rates_with_transfer(),
-                  Weather weather = {0.01, 3 * ms, 24 * ms, 0.001, 0.001}, int zones = 10)
-        : sim(count, zones, seed, rates, weather),
+                  LinkConditions conditions = {0.01, 3 * ms, 24 * ms, 0.001, 0.001}, int zones = 10)
+        : sim(count, zones, seed, rates, conditions),
           in(static_cast<std::size_t>(count)),
           out(static_cast<std::size_t>(count)),
           chance(static_cast<std::uint32_t>(seed)) {
