Keep the facts that wait to be told in order instead of sorting them for each datagram

Cause: perf on three workers in the burst: 75% of their processor time sorted the queue of Facts::next, once a datagram, each comparison with two look-ups in a map; 1.4 ms a datagram with 2,048 facts waiting. With that mended 63% went into the scan for the oldest fact at each purge of the own coordinator, and into the scan of all facts in each pass. So a burst held up all routers for over 250 ms at a time, and the membership gave up some of them.

Change: the queue, the age and the end of facts are ordered indexes. A fact that left the queue unsaid is queued again when it becomes news. The order among facts told as often is the documented one at each call; before, it turned round each time.

--- a/src/shared/facts.cpp
+++ b/src/shared/facts.cpp
@@ -66,7 +66,7 @@
         if (found != facts.end() && found->second.own && found->second.fact.time <= start) {
             found->second.own = false;
             found->second.lapsed = true;
-            found->second.left = 0;
+            set_left(found->first, found->second, 0);
         }
         return;
     }
@@ -85,8 +85,10 @@
 bool Facts::hear(const Fact& fact, Micros now) {
     if (fact.about != About::Server && fact.time > in_ms(now + clocks_apart)) return false;
     auto* known = enter(fact, false, now);
-    if (known) known->to_do = true;
-    return known != nullptr;
+    if (!known) return false;
+    if (fact.about != About::Server && !std::exchange(known->to_do, true))
+        untold_purges.emplace_back(fact.about, fact.key);
+    return true;
 }
 
 Facts::Known* Facts::enter(const Fact& told, bool own, Micros now) {
@@ -101,27 +103,65 @@
             return nullptr;
         }
         // Guards against memory that grows: what this router was told itself takes the place of the oldest.
-        if (facts.size() >= most)
-            facts.erase(std::min_element(facts.begin(), facts.end(),
-                                         [](auto& a, auto& b) { return a.second.heard < b.second.heard; }));
+        if (facts.size() >= most) forget(facts.find(by_order.begin()->second));
         found = facts.emplace(key, Known{fact}).first;
     } else {
         auto& known = found->second;
         if (own && known.fact.time == fact.time && known.fact.gone == fact.gone) known.own = true;
         if (!newer(fact, known.fact)) return nullptr;
         bool more = known.fact.time != fact.time || known.fact.gone != fact.gone;
+        if (!more) {  // only its birth
+            known.fact = fact;
+            return nullptr;
+        }
+        take_out(key, known);
         known.fact = fact;
-        if (!more) return nullptr;  // only its birth
-        known.own = known.lapsed = false;
+        known.lapsed = false;
     }
     auto& known = found->second;
     known.own = own;
     known.heard = now;
-    if (known.left == 0) waiting.push_back(key);
-    known.left = times;
+    known.order = ++last_order;
+    put_in(key, known);
     return &known;
 }
 
+void Facts::take_out(const Key& key, Known& known) {
+    set_left(key, known, 0);
+    by_order.erase(known.order);
+    if (key.first != About::Server) purge_ends.erase({end_of(known.fact), key});
+}
+
+void Facts::put_in(const Key& key, Known& known) {
+    set_left(key, known, times);
+    by_order.emplace(known.order, key);
+    if (key.first != About::Server) purge_ends.emplace(end_of(known.fact), key);
+}
+
+void Facts::set_left(const Key& key, Known& known, int left) {
+    if (known.left > 0) waiting.erase({known.left, known.order, key});
+    known.left = left;
+    if (left > 0) waiting.insert({left, known.order, key});
+}
+
+Facts::Place Facts::forget(Place place) {
+    take_out(place->first, place->second);
+    return facts.erase(place);
+}
+
+std::uint64_t Facts::end_of(const Fact& purge) const { return purge.time + in_ms(purge_done + 2 * second); }
+
+void Facts::forget_what_is_over(Micros now) {
+    while (!purge_ends.empty() && in_ms(now) > purge_ends.begin()->first)
+        forget(facts.find(purge_ends.begin()->second));
+    // Servers stand before all purges. A server's fact is kept as long as it closes the server here.
+    static_assert(About::Server < About::Object && About::Server < About::Group);
+    for (auto known = facts.begin(); known != facts.end() && known->first.first == About::Server;) {
+        bool over = !current(known->second, now) && !servers.contains(known->first.second);
+        known = over ? forget(known) : std::next(known);
+    }
+}
+
 // ---- what follows for the router
 
 // Whether no other server of its role and location is open here.
@@ -165,17 +205,15 @@
         changes.listing.caches.push_back(entry.told);
         changes.listing.caches.back().entry.listed = shown;
     }
-    for (auto known = facts.begin(); known != facts.end();) {
-        auto& fact = known->second.fact;
-        if (std::exchange(known->second.to_do, false) && fact.about != About::Server)
-            changes.purges.push_back({fact.about == About::Object ? fact.key : 0,
-                                      fact.about == About::Group ? static_cast<int>(fact.key) : 0,
-                                      static_cast<Micros>(fact.time) * ms});
-        // A server's is kept as long as it closes the server here.
-        bool over = fact.about == About::Server ? !current(known->second, now) && !servers.contains(fact.key)
-                                                : in_ms(now) > fact.time + in_ms(purge_done + 2 * second);
-        known = over ? facts.erase(known) : std::next(known);
+    for (auto& key : std::exchange(untold_purges, {})) {
+        auto found = facts.find(key);
+        if (found == facts.end() || !std::exchange(found->second.to_do, false)) continue;
+        auto& fact = found->second.fact;
+        changes.purges.push_back({fact.about == About::Object ? fact.key : 0,
+                                  fact.about == About::Group ? static_cast<int>(fact.key) : 0,
+                                  static_cast<Micros>(fact.time) * ms});
     }
+    forget_what_is_over(now);
     return changes;
 }
 
@@ -185,36 +223,34 @@
     return !known.lapsed && in_ms(now) <= known.fact.born + in_ms(told_for);
 }
 
-bool Facts::news() const {
-    return std::any_of(waiting.begin(), waiting.end(), [this](auto& key) {
-        auto found = facts.find(key);
-        return found != facts.end() && found->second.left > times - told_at_once;
-    });
-}
+bool Facts::news() const { return !waiting.empty() && waiting.rbegin()->left > times - told_at_once; }
 
+// Guards against a cost that grows with what waits: a burst of purges fills the queue, and this is asked for
+// each datagram.
 std::vector<Fact> Facts::next(std::size_t most_now, Micros now) {
     std::vector<Fact> told;
-    std::vector<Key> rest;
-    for (auto key = waiting.rbegin(); key != waiting.rend(); key++) {
-        auto found = facts.find(*key);
-        if (found == facts.end() || found->second.left <= 0 || !current(found->second, now)) continue;
-        if (told.size() < most_now) {
-            told.push_back(found->second.fact);
-            found->second.left--;
-        }
-        if (found->second.left > 0) rest.push_back(*key);
+    std::vector<Key> keys;
+    while (told.size() < most_now && !waiting.empty()) {
+        auto key = waiting.rbegin()->key;
+        auto& known = facts.at(key);
+        auto left = known.left;
+        set_left(key, known, 0);
+        if (!current(known, now)) continue;
+        told.push_back(known.fact);
+        keys.push_back(key);
+        known.left = left - 1;  // in the queue again below, lest it is told twice at once
+    }
+    for (auto& key : keys) {
+        auto& known = facts.at(key);
+        set_left(key, known, std::exchange(known.left, 0));
     }
-    // Those told least often first, the newest before others.
-    std::stable_sort(rest.begin(), rest.end(),
-                     [&](auto& a, auto& b) { return facts.at(a).left < facts.at(b).left; });
-    waiting = std::move(rest);
     return told;
 }
 
 void Facts::untold(const Fact& fact) {
     auto found = facts.find({fact.about, fact.key});
     if (found == facts.end() || found->second.left >= times) return;
-    if (found->second.left++ == 0) waiting.push_back(found->first);
+    set_left(found->first, found->second, found->second.left + 1);
 }
 
 std::uint32_t Facts::digest(Micros now) const {
--- a/src/shared/facts.hpp
+++ b/src/shared/facts.hpp
@@ -19,9 +19,11 @@
 //   - At most `most` facts; past that what was heard from others is refused, and counted.
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -89,17 +91,33 @@
     using Key = std::pair<About, std::uint64_t>;
     struct Known {
         Fact fact;
-        bool own = false;     // this router's own coordinator says so too
-        bool lapsed = false;  // its own list says otherwise, and has the word
-        bool to_do = false;   // to be told to the router
-        Micros heard = 0;     // when it became what it is, here
-        int left = 0;         // times to tell
+        bool own = false;         // this router's own coordinator says so too
+        bool lapsed = false;      // its own list says otherwise, and has the word
+        bool to_do = false;       // to be told to the router
+        Micros heard = 0;         // when it became what it is, here
+        int left = 0;             // times to tell; above 0 it stands in `waiting`
+        std::uint64_t order = 0;  // later ones became what they are later
     };
+    // To tell: the last one first, which was told least often and, of those told as often, is the newest.
+    struct Waiting {
+        int left;
+        std::uint64_t order;
+        Key key;
+        auto operator<=>(const Waiting&) const = default;
+    };
+    using Place = std::map<Key, Known>::iterator;
     struct Entry {
         feed::Endpoint told;  // as the own list has it
         Listed shown;         // as the router was told
     };
     Known* enter(const Fact& told, bool own, Micros now);
+    void set_left(const Key& key, Known& known, int left);  // keeps `waiting` in step
+    // The indexes by age and by end, before a fact changes or goes, and after it has changed.
+    void take_out(const Key& key, Known& known);
+    void put_in(const Key& key, Known& known);
+    Place forget(Place place);
+    void forget_what_is_over(Micros now);
+    std::uint64_t end_of(const Fact& purge) const;  // Unix milliseconds past which it matters no more
     void own(CacheId id, std::uint64_t start, Listed listed, Micros now);
     Listed narrowed(const Entry& entry, Micros live, Micros now);
     bool last_of_its_role(const Entry& entry) const;
@@ -109,7 +127,11 @@
     int times;
     std::map<Key, Known> facts;
     std::map<CacheId, Entry> servers;
-    std::vector<Key> waiting;  // to tell, newest last
+    std::set<Waiting> waiting;
+    std::map<std::uint64_t, Key> by_order;               // the one heard first at the beginning
+    std::set<std::pair<std::uint64_t, Key>> purge_ends;  // by their end
+    std::vector<Key> untold_purges;                      // heard from others, for the router
+    std::uint64_t last_order = 0;
     Key turn{};
     std::uint64_t seen_refused = 0;
     std::vector<CacheId> reopened;
