Hear signals from before main on, and mark how far a start has come

A router that a supervisor started with signals blocked never heard any. A log line longer than the room in a pipe waited for the pipe's reader, for ever without one; lines left out for want of room were told by nobody, so a start without a first line could not be told from one whose line had no room.

Cause: handlers were set in main, after 14 shared libraries had been loaded; the mask is inherited over exec and nothing cleared it; write to a pipe blocks where less room is left than the line needs, poll only promises a page.

Change: the three signals are blocked from .preinit_array, before any constructor, until their handlers are set, then unblocked. First line: version and process; then 'listening on'. QUILLGRADE_START_PROGRESS names a folder of start marks, plain writes to memory; quillgrade_progress prints them.

--- a/src/launch/launch.cpp
+++ b/src/launch/launch.cpp
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "peers/member_state.hpp"
+#include "startup/progress.hpp"
 
 namespace quillgrade::launch {
 
@@ -110,6 +111,7 @@
 Launch from_environment() {
     const char* path = std::getenv("PROXY_CONFIG");
     if (!path) throw Unusable("PROXY_CONFIG is not set");
+    startup::CallMark mark(startup::Call::ReadFile);
     std::ifstream file(path, std::ios::binary);
     if (!file) throw Unusable(std::string(path) + " can't be read");
     std::string text{std::istreambuf_iterator<char>(file), {}};
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,6 @@
 // Starts one router from what its environment tells, or carries out another command.
+#include <unistd.h>
+
 #include <csignal>
 #include <exception>
 
@@ -6,6 +8,7 @@
 #include "launch/launch.hpp"
 #include "log/log.hpp"
 #include "node/node.hpp"
+#include "startup/progress.hpp"
 
 namespace {
 
@@ -13,17 +16,28 @@
 // still reading its configuration, and would end it by the signal.
 volatile std::sig_atomic_t leave = 0, read_again = 0;
 
+void hear_signals() {
+    std::signal(SIGHUP, [](int) { read_again = 1; });
+    for (int one : {SIGTERM, SIGINT}) std::signal(one, [](int) { leave = 1; });
+}
+
 }  // namespace
 
 int main(int count, char** words) {
-    std::signal(SIGHUP, [](int) { read_again = 1; });
+    using quillgrade::startup::Stage;
     try {
         auto parsed = quillgrade::cli::parse(count, words);
+        bool serves = parsed.command && parsed.command->what == quillgrade::cli::Command::What::Run;
+        if (serves) hear_signals();
+        quillgrade::startup::admit_signals();
         if (!parsed.command) return parsed.exit_code;
         auto& command = *parsed.command;
-        if (command.what != quillgrade::cli::Command::What::Run) return quillgrade::cli::carry_out(command);
-        for (int one : {SIGTERM, SIGINT}) std::signal(one, [](int) { leave = 1; });
+        if (!serves) return quillgrade::cli::carry_out(command);
+        quillgrade::startup::reached(Stage::Main);
         auto launch = quillgrade::launch::from_environment();
+        quillgrade::startup::reached(Stage::ConfigurationRead);
+        quillgrade::log::info("starting: version {}, process {}, configuration read", QUILLGRADE_VERSION,
+                              getpid());
         auto plan =
             command.file.empty() ? quillgrade::operate::Plan{} : quillgrade::cli::plan_of(command.file);
         auto again = [&] { return quillgrade::cli::plan_of(command.file); };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -9,6 +9,8 @@
 #include <utility>
 
 #include "log/log.hpp"
+#include "node/service.hpp"
+#include "startup/progress.hpp"
 
 namespace quillgrade::node {
 
@@ -28,9 +30,15 @@
     return {std::istreambuf_iterator<char>(file), {}};
 }
 
+using startup::Call;
+using startup::CallMark;
+using startup::Stage;
+
 event_base* make_base() {
+    CallMark mark(Call::MakeLoop);
     auto* base = event_base_new();
     if (!base) throw std::bad_alloc();
+    startup::reached(Stage::EventLoopMade);
     return base;
 }
 
@@ -113,16 +121,26 @@
     if (sharing) sharing->pass(gathered, 0, now);
     turn.take(std::exchange(gathered, {}), now);
     turn.tend(now);
-    event_base_loop(base.get(), EVLOOP_ONCE | EVLOOP_NONBLOCK);
+    {
+        CallMark mark(Call::PollOnce);
+        event_base_loop(base.get(), EVLOOP_ONCE | EVLOOP_NONBLOCK);
+    }
+    startup::reached(Stage::FirstPass);
     if (leave_at > 0) {  // nobody could connect so far
         log::info("over before it listened");
         return;
     }
-    front.listen(launch.listen);
+    {
+        CallMark mark(Call::Listen);
+        front.listen(launch.listen);
+    }
+    startup::reached(Stage::Listening);
+    log::info("listening on {}", text_of(launch.listen));
     while (phase != Phase::Over) {
         step();
         if (phase == Phase::Over) break;
         bool idle = gathered.empty() && pool.to_write() == 0 && !(steering && steering->busy()) && !loading;
+        CallMark mark(idle ? Call::PollWait : Call::PollOnce);
         event_base_loop(base.get(), idle ? EVLOOP_ONCE : EVLOOP_ONCE | EVLOOP_NONBLOCK);
     }
 }
@@ -154,7 +172,10 @@
     if (following == phase) return;
     phase = following;
     front.set_ready(phase == Phase::Serving);
-    if (phase == Phase::Serving) log::info("serving as {}", launch.name);
+    if (phase == Phase::Serving) {
+        log::info("serving as {}", launch.name);
+        startup::reached(Stage::Serving);
+    }
     if (phase == Phase::Leaving) {
         log::info("leaving: {} lookups held", turn.held());
         if (peers) peers->leave(now);
--- /dev/null
+++ b/src/startup/progress.cpp
@@ -0,0 +1,63 @@
+#include "startup/progress.hpp"
+
+namespace quillgrade::startup {
+
+Record* shared_record = nullptr;  // off; set by preinit.cpp where the program has it
+
+const char* name_of(Stage stage) {
+    switch (stage) {
+        case Stage::Loaded:
+            return "loaded";
+        case Stage::Main:
+            return "main";
+        case Stage::ConfigurationRead:
+            return "configuration read";
+        case Stage::EventLoopMade:
+            return "event loop made";
+        case Stage::FirstPass:
+            return "first pass";
+        case Stage::Listening:
+            return "listening";
+        case Stage::Serving:
+            return "serving";
+    }
+    return "none";
+}
+
+const char* name_of(Call call) {
+    switch (call) {
+        case Call::None:
+            return "none";
+        case Call::ReadFile:
+            return "read file";
+        case Call::MakeLoop:
+            return "make loop";
+        case Call::PollOnce:
+            return "poll once";
+        case Call::PollWait:
+            return "poll wait";
+        case Call::Listen:
+            return "listen";
+        case Call::PollLog:
+            return "poll log";
+        case Call::WriteLog:
+            return "write log";
+    }
+    return "unknown";
+}
+
+void reached(Stage stage) {
+    if (shared_record) shared_record->stage = static_cast<std::uint32_t>(stage);
+}
+
+CallMark::CallMark(Call call) : before(0) {
+    if (!shared_record) return;
+    before = shared_record->call.exchange(static_cast<std::uint32_t>(call));
+    shared_record->calls++;
+}
+
+CallMark::~CallMark() {
+    if (shared_record) shared_record->call = before;
+}
+
+}  // namespace quillgrade::startup
