--- a/bench/scale.cpp
+++ b/bench/scale.cpp
@@ -216,10 +216,8 @@
     auto plan = quick ? quick_plan() : full_plan();
     if (!sizes.empty()) plan.sizes = sizes;
     if (!quick && !no_hollow)
-        // Facts cost a router 0.7% of a core at these purges: 1,000 of them would hold up 8 cores.
-        plan.hollow_arguments =
-            fmt::format("--hollow {} --real {} --seconds 30 --bytes-per-s {} --without-facts", hollow,
-                        real_routers, bytes_per_s);
+        plan.hollow_arguments = fmt::format("--hollow {} --real {} --seconds 30 --bytes-per-s {}", hollow,
+                                            real_routers, bytes_per_s);
     if (no_purges) plan.purges.clear();
     fmt::print("sizes {}, seed {}{}\n", json(plan.sizes).dump(), seed, quick ? ", quick" : "");
     std::fflush(stdout);
--- a/src/rig/hollow/supervisor.cpp
+++ b/src/rig/hollow/supervisor.cpp
@@ -21,6 +21,7 @@
 constexpr Micros publish_every = 50 * ms, check_every = 500 * ms, report_every = 2 * second;
 constexpr Micros longest_wait = 30 * second;  // for answers of children
 // Purges have to be everywhere within 8 s, configuration within 12 s.
+constexpr double purge_deadline_ms = 8000;
 constexpr Micros arrival_deadline = 12 * second;
 constexpr double look_at_arrivals_every_s = 0.2;
 // After a killed worker is back, others may still hold its routers for dead.
@@ -378,6 +379,9 @@
         if (!kept) result.broken.push_back(std::move(what));
     };
     promise(result.purges.missed == 0, fmt::format("{} purges missed for good", result.purges.missed));
+    auto& everywhere = result.purges.everywhere_ms;
+    promise(!everywhere || everywhere->max <= purge_deadline_ms,
+            fmt::format("a purge was everywhere after {:.0f} ms", everywhere ? everywhere->max : 0));
     promise(result.configurations.missed == 0,
             fmt::format("{} changes of configuration missed for good", result.configurations.missed));
     promise(result.requests_without_one_response == 0,
--- a/src/shared/facts.hpp
+++ b/src/shared/facts.hpp
@@ -19,11 +19,11 @@
 //   - At most `most` facts; past that what was heard from others is refused, and counted.
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -103,7 +103,9 @@
         int left;
         std::uint64_t order;
         Key key;
-        auto operator<=>(const Waiting&) const = default;
+        bool operator<(const Waiting& other) const {
+            return std::tie(left, order, key) < std::tie(other.left, other.order, other.key);
+        }
     };
     using Place = std::map<Key, Known>::iterator;
     struct Entry {
--- a/src/startup/preinit.cpp
+++ b/src/startup/preinit.cpp
@@ -2,14 +2,15 @@
 // which the System V ABI gives to executables only. No library is set up here, so this file asks the system
 // directly and uses nothing else.
 #include <fcntl.h>
-#include <linux/mman.h>
+#include <sys/mman.h>
 #include <sys/syscall.h>
 #include <unistd.h>
 
-#include <cerrno>
+#include <algorithm>
+#include <array>
 #include <csignal>
-#include <cstring>
 #include <new>
+#include <string_view>
 
 #include "startup/progress.hpp"
 
@@ -19,8 +20,9 @@
 
 namespace {
 
-constexpr char variable[] = "QUILLGRADE_START_PROGRESS=";
-constexpr std::size_t longest_path = 512, file_size = 4096;
+constexpr std::string_view variable = "QUILLGRADE_START_PROGRESS=", file_name = "/start-";
+constexpr std::size_t longest_path = 512, longest_number = 20, file_size = 4096;
+using Path = std::array<char, longest_path>;
 constexpr unsigned long long bit(int signal) { return 1ULL << (signal - 1); }
 constexpr unsigned long long held_signals = bit(SIGHUP) | bit(SIGTERM) | bit(SIGINT);
 // The kernel's set of signals, which is not the C library's.
@@ -29,31 +31,28 @@
 void mask(int how) { syscall(SYS_rt_sigprocmask, how, &held_signals, nullptr, kernel_set_size); }
 
 // FOLDER/start-PID; false where it does not fit.
-bool write_path(char* path, const char* folder, long process) {
-    constexpr char name[] = "/start-";
-    char digits[20];
-    std::size_t count = 0;
-    for (; process > 0; process /= 10) digits[count++] = static_cast<char>('0' + process % 10);
-    auto length = std::strlen(folder);
-    if (length + sizeof name + count > longest_path) return false;
-    std::memcpy(path, folder, length);
-    std::memcpy(path + length, name, sizeof name - 1);
-    path += length + sizeof name - 1;
-    while (count > 0) *path++ = digits[--count];
-    *path = '\0';
+bool write_path(Path& path, std::string_view folder, long process) {
+    std::array<char, longest_number> digits;
+    auto digit = digits.end();
+    for (; process > 0; process /= 10) *--digit = static_cast<char>('0' + process % 10);
+    std::string_view number(digit, static_cast<std::size_t>(digits.end() - digit));
+    if (folder.size() + file_name.size() + number.size() >= path.size()) return false;
+    auto* end = path.begin();
+    for (auto part : {folder, file_name, number}) end = std::copy(part.begin(), part.end(), end);
+    *end = '\0';
     return true;
 }
 
-void share_record(const char* folder) {
-    char path[longest_path];
+void share_record(std::string_view folder) {
+    Path path;
     auto process = syscall(SYS_getpid);
     if (!write_path(path, folder, process)) return;
-    auto file = syscall(SYS_openat, AT_FDCWD, path, O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+    auto file = syscall(SYS_openat, AT_FDCWD, path.data(), O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
     if (file < 0) return;
     if (syscall(SYS_ftruncate, file, file_size) == 0) {
-        auto mapped = syscall(SYS_mmap, nullptr, file_size, 0x1 | 0x2 /* PROT_READ | PROT_WRITE */,
-                              MAP_SHARED, file, 0);
-        if (mapped != -1) shared_record = new (reinterpret_cast<void*>(mapped)) Record;
+        auto* mapped =
+            mmap(nullptr, file_size, PROT_READ | PROT_WRITE, MAP_SHARED, static_cast<int>(file), 0);
+        if (mapped != MAP_FAILED) shared_record = new (mapped) Record;
     }
     syscall(SYS_close, file);
     if (!shared_record) return;
@@ -65,7 +64,7 @@
 void before_constructors(int /*count*/, char** /*words*/, char** environment) {
     mask(SIG_BLOCK);
     for (auto one = environment; one && *one; one++)
-        if (std::strncmp(*one, variable, sizeof variable - 1) == 0) share_record(*one + sizeof variable - 1);
+        if (std::string_view(*one).starts_with(variable)) share_record(*one + variable.size());
 }
 
 __attribute__((section(".preinit_array"), used)) void (*const entry)(int, char**,
--- a/src/startup/progress.cpp
+++ b/src/startup/progress.cpp
@@ -50,7 +50,7 @@
     if (shared_record) shared_record->stage = static_cast<std::uint32_t>(stage);
 }
 
-CallMark::CallMark(Call call) : before(0) {
+CallMark::CallMark(Call call) {
     if (!shared_record) return;
     before = shared_record->call.exchange(static_cast<std::uint32_t>(call));
     shared_record->calls++;
--- a/src/startup/progress.hpp
+++ b/src/startup/progress.hpp
@@ -60,7 +60,7 @@
     ~CallMark();
 
 private:
-    std::uint32_t before;
+    std::uint32_t before = 0;
 };
 
 // Signals that the supervisor sends at any moment of a start (SIGHUP, SIGTERM, SIGINT) are held back from the
--- a/tests/log_test.cpp
+++ b/tests/log_test.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr int page = 4096, pages = 2;
+constexpr std::size_t page = 4096, pages = 2, many_pages = 3 * page;
 constexpr unsigned longest_s = 10;
 
 // Runs `work` in a child process with `descriptor` as its standard error; true where it ends by itself in
@@ -50,16 +50,17 @@
     std::array<int, 2> ends{};
     Pipe() {
         REQUIRE(pipe(ends.data()) == 0);
-        REQUIRE(fcntl(ends[1], F_SETPIPE_SZ, pages * page) == pages * page);
+        constexpr auto size = static_cast<int>(pages * page);
+        REQUIRE(fcntl(ends[1], F_SETPIPE_SZ, size) == size);
     }
     Pipe(const Pipe&) = delete;
     Pipe& operator=(const Pipe&) = delete;
     ~Pipe() {
         for (int end : ends) close(end);
     }
-    void fill(int how_many) const {
+    void fill(std::size_t how_many) const {
         std::string text(page, '.');
-        for (int i = 0; i < how_many; i++)
+        for (std::size_t i = 0; i < how_many; i++)
             REQUIRE(::write(ends[1], text.data(), text.size()) == static_cast<ssize_t>(text.size()));
     }
 };
@@ -69,7 +70,7 @@
 TEST_CASE("a line longer than the room in a pipe without a reader is cut, and nothing waits") {
     Pipe log;
     log.fill(pages - 1);
-    CHECK(ends_in_time(log.ends[1], [] { log::warning("{}", std::string(3 * page, 'x')); }));
+    CHECK(ends_in_time(log.ends[1], [] { log::warning("{}", std::string(many_pages, 'x')); }));
     auto text = read_all(log.ends[0]);
     CHECK(text.size() <= pages * page);
     CHECK(text.back() == '\n');
