Log event loop stalls, and mark processor time and polls without a wait in a start

The progress of a start (QUILLGRADE_START_PROGRESS) also keeps processor time and polls since the last wait; off without the variable.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -50,6 +50,7 @@
       plan_again(std::move(plan_again)),
       terms(launch.terms),
       base(make_base()),
+      stall_detector(processor_time, Clock::steady()),
       front({base.get(), terms, clock, gathered, false}, launch.room.clients, launch.room.unsent),
       pool(base.get(), terms, clock, gathered, launch.room.caches, launch.room.coming),
       turn(launch, base.get(), gathered, front, pool),
@@ -121,10 +122,7 @@
     if (sharing) sharing->pass(gathered, 0, now);
     turn.take(std::exchange(gathered, {}), now);
     turn.tend(now);
-    {
-        CallMark mark(Call::PollOnce);
-        event_base_loop(base.get(), EVLOOP_ONCE | EVLOOP_NONBLOCK);
-    }
+    look_for_events(Wait::No);
     startup::reached(Stage::FirstPass);
     if (leave_at > 0) {  // nobody could connect so far
         log::info("over before it listened");
@@ -140,9 +138,22 @@
         step();
         if (phase == Phase::Over) break;
         bool idle = gathered.empty() && pool.to_write() == 0 && !(steering && steering->busy()) && !loading;
-        CallMark mark(idle ? Call::PollWait : Call::PollOnce);
-        event_base_loop(base.get(), idle ? EVLOOP_ONCE : EVLOOP_ONCE | EVLOOP_NONBLOCK);
+        look_for_events(idle ? Wait::Yes : Wait::No);
+    }
+}
+
+// Guards against a loop that stands still or never waits without anybody being told.
+void Node::look_for_events(Wait wait) {
+    if (auto stall = stall_detector.before_events(Clock::steady()))
+        log::warning(
+            "event loop stall: {} ms without a wait, {} ms of processor time, {} iterations; {} so far",
+            stall->wall / ms, stall->processor / ms, stall->iterations, stall->so_far);
+    bool waits = wait == Wait::Yes;
+    {
+        CallMark mark(waits ? Call::PollWait : Call::PollOnce);
+        event_base_loop(base.get(), waits ? EVLOOP_ONCE : EVLOOP_ONCE | EVLOOP_NONBLOCK);
     }
+    stall_detector.after_events(Clock::steady(), waits);
 }
 
 void Node::step() {
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -10,6 +10,7 @@
 #include "node/peer_port.hpp"
 #include "node/pool.hpp"
 #include "node/sharing.hpp"
+#include "node/stall_detector.hpp"
 #include "node/steering.hpp"
 #include "node/turn.hpp"
 
@@ -42,6 +43,9 @@
 
 private:
     void step();
+    // Whether the loop waits until there are events.
+    enum class Wait { No, Yes };
+    void look_for_events(Wait wait);
     void steer(Micros now);
     void read_plan_again();
     void load_rules();
@@ -54,6 +58,7 @@
     site::Terms terms;  // as narrowed by what is in force
     Owned<event_base> base;
     Clock clock;
+    StallDetector stall_detector;
     Gathered gathered;
     Front front;
     Pool pool;
--- a/src/startup/main.cpp
+++ b/src/startup/main.cpp
@@ -29,8 +29,9 @@
         fmt::print("{}: no record of a start\n", path.string());
         return;
     }
-    fmt::print("process {}: {}, call {}, {} calls\n", record.process, name_of(Stage{record.stage.load()}),
-               name_of(Call{record.call.load()}), record.calls.load());
+    fmt::print("process {}: {}, call {}, {} calls, {} polls since a wait, {} us of processor time\n",
+               record.process, name_of(Stage{record.stage.load()}), name_of(Call{record.call.load()}),
+               record.calls.load(), record.polls_since_wait.load(), record.processor_us.load());
 }
 
 }  // namespace
--- a/src/startup/progress.cpp
+++ b/src/startup/progress.cpp
@@ -1,5 +1,10 @@
 #include "startup/progress.hpp"
 
+#include <sys/syscall.h>
+#include <unistd.h>
+
+#include <ctime>
+
 namespace quillgrade::startup {
 
 Record* shared_record = nullptr;  // off; set by preinit.cpp where the program has it
@@ -46,14 +51,31 @@
     return "unknown";
 }
 
+namespace {
+
+// Only where progress is kept. Asks the system directly, as it also runs before any library is set up.
+void store_processor_time() {
+    timespec used{};
+    if (syscall(SYS_clock_gettime, CLOCK_PROCESS_CPUTIME_ID, &used) != 0) return;
+    shared_record->processor_us =
+        static_cast<std::uint64_t>(used.tv_sec) * 1'000'000 + static_cast<std::uint64_t>(used.tv_nsec) / 1000;
+}
+
+}  // namespace
+
 void reached(Stage stage) {
-    if (shared_record) shared_record->stage = static_cast<std::uint32_t>(stage);
+    if (!shared_record) return;
+    shared_record->stage = static_cast<std::uint32_t>(stage);
+    store_processor_time();
 }
 
 CallMark::CallMark(Call call) {
     if (!shared_record) return;
     before = shared_record->call.exchange(static_cast<std::uint32_t>(call));
     shared_record->calls++;
+    if (call == Call::PollOnce) shared_record->polls_since_wait++;
+    if (call == Call::PollWait) shared_record->polls_since_wait = 0;
+    store_processor_time();
 }
 
 CallMark::~CallMark() {
--- a/src/startup/progress.hpp
+++ b/src/startup/progress.hpp
@@ -1,6 +1,6 @@
 // How far a start has come, kept in a file that the process shares with whoever looks: a start that hangs, or
 // was killed, can be read afterwards, since a mark is a plain write to memory and needs no call of the
-// system.
+// system. Processor time is kept beside them, which one call of the system reads.
 //
 // Off unless QUILLGRADE_START_PROGRESS names a folder in the environment of the process. Then each process
 // writes one file there, `start-PID`, of one Record in the machine's byte order; `build/quillgrade_progress
@@ -37,12 +37,14 @@
 };
 
 struct Record {
-    static constexpr std::uint64_t format = 0x514753544152'0001;
+    static constexpr std::uint64_t format = 0x514753544152'0002;
     std::uint64_t written_format = format;
     std::int64_t process = 0;
     std::atomic<std::uint32_t> stage{0};
     std::atomic<std::uint32_t> call{0};   // under way now
     std::atomic<std::uint64_t> calls{0};  // begun so far
+    std::atomic<std::uint64_t> polls_since_wait{0};
+    std::atomic<std::uint64_t> processor_us{0};  // used when the last stage was reached or call begun
 };
 static_assert(std::atomic<std::uint64_t>::is_always_lock_free);
 
