Facts reach a router that is behind although all are short of bytes

Counts rode on every datagram with the room that was being saved up for a router whose facts were behind. The bounded tellings of a fact were used up on the router that had told it and heard nobody. And a router that held no fact never said so when it saw another digest, although its own datagrams had no room for a digest.

Change: counts wait while facts wait for bytes; a fact is not told to who told it, three times at most, since in a tier of two there is nobody else; a router without facts insists on saying that its digest differs.

--- a/src/shared/exchange.cpp
+++ b/src/shared/exchange.cpp
@@ -77,7 +77,7 @@
 
 void Exchange::take(Number from, Life life, const Payload& load, const Times& now) {
     if (terms.parts.facts) {
-        for (auto& fact : load.facts) seen.facts_heard += facts.hear(fact, now.unix);
+        for (auto& fact : load.facts) seen.facts_heard += facts.hear(fact, now.unix, from);
         if (load.digest != facts.digest(now.unix)) unlike[static_cast<std::size_t>(from)] = true;
     }
     if (terms.parts.quotas) {
@@ -170,8 +170,8 @@
         post = empty || old ? out.erase(post) : std::next(post);
     }
     tell_facts(now);
-    if (terms.parts.counts && now.unix >= spare_at && membership.spare(now.unix) > spare_datagram &&
-        request_counts.news()) {
+    if (terms.parts.counts && !facts_wait && now.unix >= spare_at &&
+        membership.spare(now.unix) > spare_datagram && request_counts.news()) {
         membership.tell(1, membership.own_zone(), false, now.unix);
         spare_at = now.unix + spare_every;
     }
@@ -185,13 +185,14 @@
 // News of drains and purges does not wait for a probe: three others at once, and each that hears it for the
 // first time does the same, as with news of the membership.
 void Exchange::tell_facts(const Times& now) {
-    if (!terms.parts.facts || facts.size() == 0) return;
+    facts_wait = false;
+    if (!terms.parts.facts) return;
     if (facts.news()) {
-        membership.tell(3, -1, true, now.unix);
+        facts_wait = !membership.tell(3, -1, true, now.unix);
         return;
     }
     // Guards against a router that is never told, as those who know use up their bytes on somebody who is cut
-    // off.
+    // off. Who knows of no fact speaks up too: its next datagrams may have no room for its digest.
     if (now.unix < mend_at) return;
     auto behind = std::find(unlike.begin(), unlike.end(), true);
     if (behind == unlike.end()) return;
@@ -200,6 +201,8 @@
         *behind = false;  // a datagram of its own says so anew
     else if (membership.insist(who, now.unix))
         mend_at = now.unix + mend_every;
+    else
+        facts_wait = true;
 }
 
 // ---- quotas
@@ -277,7 +280,7 @@
     auto place = static_cast<std::size_t>(to);
     std::size_t news = 0;
     if (terms.parts.facts) {
-        load.facts = facts.next(facts_a_datagram, now);
+        load.facts = facts.next(facts_a_datagram, now, to);
         news = load.facts.size();
         if (unlike[place])
             for (auto& fact : facts.in_turn(facts_a_datagram - news, now)) load.facts.push_back(fact);
@@ -291,7 +294,9 @@
         }
     complaint_turn += load.complaints.size();
     load.breadth = breadth;
-    if (terms.parts.counts && neighbour) load.counts = request_counts.next(counts_a_datagram, now);
+    // Guards against counts that take the bytes saved up for facts: the membership gives all its room then.
+    if (terms.parts.counts && neighbour && !facts_wait)
+        load.counts = request_counts.next(counts_a_datagram, now);
     auto fitted = encode(load, room, now);
     for (auto i = fitted.facts; i < news; i++) facts.untold(load.facts[i]);
     if (fitted.facts == load.facts.size()) unlike[place] = false;
--- a/src/shared/exchange.hpp
+++ b/src/shared/exchange.hpp
@@ -116,6 +116,7 @@
     std::size_t complaint_turn = 0;
     std::map<Number, Out> out;
     std::vector<bool> unlike;  // by router: its facts differ from mine
+    bool facts_wait = false;   // some are to be told, and the bytes for it are being saved up
     Times last{};
     Figures seen;
 };
--- a/src/shared/facts.cpp
+++ b/src/shared/facts.cpp
@@ -82,10 +82,11 @@
 
 // ---- what others say
 
-bool Facts::hear(const Fact& fact, Micros now) {
+bool Facts::hear(const Fact& fact, Micros now, Number from) {
     if (fact.about != About::Server && fact.time > in_ms(now + clocks_apart)) return false;
     auto* known = enter(fact, false, now);
     if (!known) return false;
+    known->teller = from;
     if (fact.about != About::Server && !std::exchange(known->to_do, true))
         untold_purges.emplace_back(fact.about, fact.key);
     return true;
@@ -120,6 +121,8 @@
     }
     auto& known = found->second;
     known.own = own;
+    known.teller = nobody;
+    known.passed_over = 0;
     known.heard = now;
     known.order = ++last_order;
     put_in(key, known);
@@ -227,20 +230,26 @@
 
 // Guards against a cost that grows with what waits: a burst of purges fills the queue, and this is asked for
 // each datagram.
-std::vector<Fact> Facts::next(std::size_t most_now, Micros now) {
+std::vector<Fact> Facts::next(std::size_t most_now, Micros now, Number to) {
     std::vector<Fact> told;
-    std::vector<Key> keys;
-    while (told.size() < most_now && !waiting.empty()) {
+    std::vector<Key> taken;
+    while (taken.size() < most_now && !waiting.empty()) {
         auto key = waiting.rbegin()->key;
         auto& known = facts.at(key);
         auto left = known.left;
         set_left(key, known, 0);
         if (!current(known, now)) continue;
-        told.push_back(known.fact);
-        keys.push_back(key);
-        known.left = left - 1;  // in the queue again below, lest it is told twice at once
+        taken.push_back(key);
+        // Guards against tellings used up on who knows it, and may be cut off. In a tier of two there is
+        // nobody else, so it is passed over a bounded number of times.
+        bool knows_it = to != nobody && known.teller == to && known.passed_over < told_at_once;
+        if (knows_it)
+            known.passed_over++;
+        else
+            told.push_back(known.fact);
+        known.left = knows_it ? left : left - 1;  // in the queue again below, lest it is told twice at once
     }
-    for (auto& key : keys) {
+    for (auto& key : taken) {
         auto& known = facts.at(key);
         set_left(key, known, std::exchange(known.left, 0));
     }
