Sampler: the core a process is on, how many it may use, who is ready there

Cause: where processes are pinned to one core each, a wait for that core says nothing of the others, and the load of the machine says nothing of it.

Change: each sample holds the core, the number of cores allowed and how many processes were ready beside it there; the report's last line tells the most time that the host took from each core between two rounds.

--- a/src/rig/sampler/main.cpp
+++ b/src/rig/sampler/main.cpp
@@ -9,11 +9,12 @@
 //   process P NAME ended: seen from REALTIME for S s, processor, run queue, ..., state X, call NUMBER
 //   ARGUMENTS SP PC
 //
-// with --samples followed by the last samples of it, --ring of them. The last two lines tell the extremes of
-// all processes, and whether the real, raw monotonic and boot clocks went apart from the monotonic one or
-// jumped. How the lines are read: processor time that grows with the wall clock is a loop without a wait;
-// ready without a core is a full machine; S is a wait in the call that is named; D and major faults are the
-// disk; T is a process that was stopped. Exit code 0, or 1 where the file can't be written.
+// with --samples followed by the last samples of it, --ring of them. The last three lines tell the extremes
+// of all processes, whether the real, raw monotonic and boot clocks went apart from the monotonic one or
+// jumped, and the most time between two rounds that the machine's host took from a core. How the lines are
+// read: processor time that grows with the wall clock is a loop without a wait; ready without a core is a
+// full machine, or one full core where one is allowed; S is a wait in the call that is named; D and major
+// faults are the disk; T is a process that was stopped. Exit code 0, or 1 where the file can't be written.
 #include <fmt/format.h>
 
 #include <CLI/CLI.hpp>
--- a/src/rig/sampler/proc_lines.cpp
+++ b/src/rig/sampler/proc_lines.cpp
@@ -69,7 +69,7 @@
     auto state = words.next();
     if (state.size() != 1) return std::nullopt;
     stat.state = state.front();
-    // Fields by their numbers in proc(5): 4 parent, 10 and 12 faults, 22 start.
+    // Fields by their numbers in proc(5): 4 parent, 10 and 12 faults, 22 start, 39 core.
     if (!words.take(stat.parent)) return std::nullopt;
     words.skip(5);
     if (!words.take(stat.minor_faults)) return std::nullopt;
@@ -77,9 +77,25 @@
     if (!words.take(stat.major_faults)) return std::nullopt;
     words.skip(9);
     if (!words.take(stat.start_ticks)) return std::nullopt;
+    words.skip(16);
+    if (!words.take(stat.core)) return std::nullopt;
     return stat;
 }
 
+std::optional<CoreTimes> parse_core_times(std::string_view line) {
+    constexpr std::string_view prefix = "cpu";
+    if (!line.starts_with(prefix)) return std::nullopt;
+    Words words(line.substr(prefix.size()));
+    CoreTimes times;
+    if (line.substr(prefix.size()).starts_with(' ') || !words.take(times.core)) return std::nullopt;
+    // Of user, nice, system, idle, wait for disks, two of interrupts, stolen.
+    words.skip(3);
+    if (!words.take(times.idle)) return std::nullopt;
+    words.skip(3);
+    if (!words.take(times.stolen)) return std::nullopt;
+    return times;
+}
+
 std::optional<SystemCall> parse_syscall(std::string_view line) {
     SystemCall call;
     Words words(line);
--- a/src/rig/sampler/proc_lines.hpp
+++ b/src/rig/sampler/proc_lines.hpp
@@ -33,9 +33,18 @@
     std::uint64_t minor_faults = 0;
     std::uint64_t major_faults = 0;  // pages that had to be read from a disk
     std::uint64_t start_ticks = 0;   // after the machine's start; tells lives of one pid apart
+    int core = 0;                    // where it runs, or ran last
 };
 std::optional<ProcessStat> parse_stat(std::string_view line);
 
+// A line of /proc/stat on one core, 'cpu3 ...'; that on all cores together gives nothing. In ticks.
+struct CoreTimes {
+    int core = 0;
+    std::uint64_t idle = 0;    // without the wait for disks
+    std::uint64_t stolen = 0;  // it was ready to run and the machine's host ran something else
+};
+std::optional<CoreTimes> parse_core_times(std::string_view line);
+
 // /proc/PID/syscall, of the process's first thread.
 struct SystemCall {
     enum class Kind { Unknown, Running, OutsideOfCalls, InCall };
--- a/src/rig/sampler/process_history.hpp
+++ b/src/rig/sampler/process_history.hpp
@@ -19,6 +19,10 @@
     SchedulerTimes times;
     std::uint64_t minor_faults = 0, major_faults = 0;
     SystemCall call;
+    int core = 0;           // where it runs, or ran last
+    int allowed_cores = 0;  // 1: it is pinned to that one; 0: not known
+    int ready_beside_it =
+        0;  // other processes that were ready or running on that core, by their first threads
 };
 
 class ProcessHistory {
--- a/src/rig/sampler/sampler.cpp
+++ b/src/rig/sampler/sampler.cpp
@@ -2,11 +2,13 @@
 
 #include <fcntl.h>
 #include <fmt/format.h>
+#include <sched.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <charconv>
 #include <filesystem>
+#include <fstream>
 #include <vector>
 
 namespace quillgrade::rig::sampler {
@@ -39,6 +41,13 @@
     return pids;
 }
 
+// 0 where it is not known.
+int allowed_cores(int pid) {
+    cpu_set_t set;
+    CPU_ZERO(&set);
+    return sched_getaffinity(pid, sizeof set, &set) == 0 ? CPU_COUNT(&set) : 0;
+}
+
 double seconds(Nanoseconds time) { return std::chrono::duration<double>(time).count(); }
 
 bool has_ended(const ProcessStat& stat) { return stat.state == 'Z' || stat.state == 'X'; }
@@ -58,10 +67,15 @@
 void Sampler::round() {
     rounds++;
     clocks.add(read_clocks());
+    read_cores();
+    std::vector<ProcessStat> followed;
     for (int pid : all_pids()) {
         auto stat = parse_stat(read_line(pid, "stat"));
-        if (stat && wanted(*stat)) sample(*stat);
+        if (!stat) continue;
+        if (stat->state == 'R') cores[stat->core].ready++;
+        if (wanted(*stat)) followed.push_back(*stat);
     }
+    for (auto& stat : followed) sample(stat);
     for (auto one = processes.begin(); one != processes.end();) {
         if (one->second.last_round == rounds) {
             ++one;
@@ -73,6 +87,21 @@
     report.flush();
 }
 
+void Sampler::read_cores() {
+    std::ifstream file("/proc/stat");
+    std::string line;
+    while (std::getline(file, line) && line.starts_with("cpu")) {
+        auto times = parse_core_times(line);
+        if (!times) continue;
+        auto& core = cores[times->core];
+        if (core.known)
+            core.most_stolen_ticks = std::max(core.most_stolen_ticks, times->stolen - core.stolen_ticks);
+        core.known = true;
+        core.stolen_ticks = times->stolen;
+        core.ready = 0;
+    }
+}
+
 void Sampler::sample(const ProcessStat& stat) {
     auto times = parse_schedstat(read_line(stat.pid, "schedstat"));
     if (!times) return;
@@ -101,7 +130,10 @@
                                .times = *times,
                                .minor_faults = stat.minor_faults,
                                .major_faults = stat.major_faults,
-                               .call = call.value_or(SystemCall{})});
+                               .call = call.value_or(SystemCall{}),
+                               .core = stat.core,
+                               .allowed_cores = allowed_cores(stat.pid),
+                               .ready_beside_it = cores[stat.core].ready - (stat.state == 'R' ? 1 : 0)});
 }
 
 void Sampler::report_ended(int pid, const Followed& followed, std::string_view end) {
@@ -119,21 +151,23 @@
         return;
     }
     report << fmt::format(
-        "process {} {} {}: seen from {:.3f} for {:.3f} s, processor {:.4f} s, run queue {:.4f} s, longest "
-        "run queue "
-        "{:.4f} s, longest ready without a core {:.3f} s, longest without running {:.3f} s, state {}, {} "
-        "major "
-        "faults, {} samples, call {}\n",
+        "process {} {} {}: seen from {:.3f} for {:.3f} s, processor {:.4f} s, run queue {:.4f} s, "
+        "longest run queue {:.4f} s, longest ready without a core {:.3f} s, longest without running {:.3f} "
+        "s, "
+        "state {}, core {} of {} allowed, {} ready beside it, {} major faults, {} samples, call {}\n",
         pid, followed.program, end, seconds(followed.first_seen), seconds(last.at - history.first().at),
         seconds(last.times.processor), seconds(last.times.run_queue), seconds(history.longest_run_queue()),
         seconds(history.longest_ready_without_core()), seconds(history.longest_without_running()), last.state,
-        last.major_faults, history.samples(), text_of(last.call));
+        last.core, last.allowed_cores, last.ready_beside_it, last.major_faults, history.samples(),
+        text_of(last.call));
     if (!options.write_samples) return;
     for (auto& sample : history.kept())
         report << fmt::format(
-            "  {:.3f} {} processor {:.4f} run queue {:.4f} minor faults {} major faults {} call {}\n",
+            "  {:.3f} {} processor {:.4f} run queue {:.4f} core {} of {}, {} beside it, minor faults {} "
+            "major faults {} call {}\n",
             seconds(sample.at - history.first().at), sample.state, seconds(sample.times.processor),
-            seconds(sample.times.run_queue), sample.minor_faults, sample.major_faults, text_of(sample.call));
+            seconds(sample.times.run_queue), sample.core, sample.allowed_cores, sample.ready_beside_it,
+            sample.minor_faults, sample.major_faults, text_of(sample.call));
 }
 
 void Sampler::finish() {
@@ -141,8 +175,7 @@
     processes.clear();
     report << fmt::format(
         "all: {} processes, {} of them not reported, {} samples of processes beyond {} left out, {} rounds; "
-        "longest "
-        "run queue {:.4f} s, longest ready without a core {:.3f} s, most processor time {:.4f} s\n",
+        "longest run queue {:.4f} s, longest ready without a core {:.3f} s, most processor time {:.4f} s\n",
         reported, left_out, not_followed, most_processes, rounds, seconds(longest_run_queue),
         seconds(longest_ready_without_core), seconds(most_processor));
     report << fmt::format("clocks: {} readings, {} slow, longest gap {:.3f} s", clocks.readings(),
@@ -151,6 +184,11 @@
         report << fmt::format("; {} against monotonic: {} divergences over {:.3f} s, largest step {:.6f} s",
                               name_of(clock), clocks.divergence(clock).count, seconds(ClockWatch::tolerance),
                               seconds(clocks.divergence(clock).largest));
+    report << "\ncores: most stolen between two rounds";
+    for (auto& [number, core] : cores)
+        report << fmt::format(
+            ", core {} {:.2f} s", number,
+            static_cast<double>(core.most_stolen_ticks) / static_cast<double>(sysconf(_SC_CLK_TCK)));
     report << "\n" << std::flush;
 }
 
--- a/src/rig/sampler/sampler.hpp
+++ b/src/rig/sampler/sampler.hpp
@@ -1,6 +1,8 @@
 // Follows processes from outside, by what /proc tells of them at regular intervals, and writes a report of
 // each once it has ended: whether it ran, waited for a core, slept in a call, stood still in the kernel or
 // was stopped. It costs the processes nothing. Samples are of a process's first thread.
+// Where a process is pinned to one core, a wait for it says nothing of the other cores: the core, how many
+// are allowed and how many processes were ready there beside it are told, too.
 //
 // Call round() every 20 to 50 ms and finish() at the end. Bounded: a ring of samples a process, so many
 // processes at once; those beyond are counted.
@@ -51,13 +53,22 @@
         ProcessHistory history;
         std::uint64_t last_round = 0;
     };
+    // What is known of one core.
+    struct Core {
+        int ready = 0;  // processes that were ready or running there in this round, by their first threads
+        std::uint64_t stolen_ticks = 0;
+        std::uint64_t most_stolen_ticks = 0;  // between two rounds
+        bool known = false;
+    };
     bool wanted(const ProcessStat& stat) const;
+    void read_cores();
     void sample(const ProcessStat& stat);
     void report_ended(int pid, const Followed& followed, std::string_view end);
 
     Options options;
     std::ostream& report;
     std::map<int, Followed> processes;  // by pid
+    std::map<int, Core> cores;
     ClockWatch clocks;
     std::uint64_t rounds = 0, reported = 0, not_followed = 0, left_out = 0;
     Nanoseconds longest_run_queue{}, longest_ready_without_core{}, most_processor{};
--- a/tests/sampler_test.cpp
+++ b/tests/sampler_test.cpp
@@ -3,6 +3,7 @@
 // the one that is stopped are told apart.
 #include "rig/sampler/sampler.hpp"
 
+#include <sched.h>
 #include <sys/syscall.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -107,7 +108,7 @@
 TEST_CASE("sampler: stat, where a program's name holds spaces and brackets") {
     auto stat = parse_stat(
         "71 (a) R (b) D 12 71 71 0 -1 4194560 270 4 1 5 3 2 0 0 20 0 1 0 4711 7000 300 "
-        "18446744073709551615\n");
+        "18446744073709551615 1 1 0 0 0 0 4096 0 0 0 0 0 17 6 0 0\n");
     REQUIRE(stat);
     CHECK(stat->pid == 71);
     CHECK(stat->program == "a) R (b");
@@ -116,6 +117,7 @@
     CHECK(stat->minor_faults == 270);
     CHECK(stat->major_faults == 1);
     CHECK(stat->start_ticks == 4711);
+    CHECK(stat->core == 6);
     for (auto* malformed :
          {"", "71", "71 (a", "71 )a(", "x (a) R 1", "71 (a) RR 1", "71 (a) R 12 71 71 0 -1 4194560 270"}) {
         CAPTURE(malformed);
@@ -123,6 +125,19 @@
     }
 }
 
+TEST_CASE("sampler: what a core did, and nothing for all cores together") {
+    auto times = parse_core_times("cpu7 86408 422 6314 66911 43 1 331 549 0 0\n");
+    REQUIRE(times);
+    CHECK(times->core == 7);
+    CHECK(times->idle == 66911);
+    CHECK(times->stolen == 549);
+    for (auto* other :
+         {"", "cpu", "cpu  702643 3597 57852 515977 626 0 14959 4460 0 0", "cpu7 1 2 3", "intr 5 1"}) {
+        CAPTURE(other);
+        CHECK_FALSE(parse_core_times(other));
+    }
+}
+
 TEST_CASE("sampler: the call that a process is in, none, or it runs") {
     std::string in_call = "202 0x7f64b81f6000 0x0 0x0 0x0 0x0 0x1 0x7f64b7fff098 0x7f64b8000000";
     auto call = parse_syscall(in_call + "\n");
@@ -223,6 +238,7 @@
     CHECK(processor_time(sampler, sleeping.pid) < 50ms);
     CHECK(sampler.history_of(sleeping.pid)->last().call.number == SYS_pause);
     CHECK(sampler.history_of(computing.pid)->kept().size() <= 4);
+    CHECK(sampler.history_of(sleeping.pid)->last().allowed_cores >= 1);
     CHECK(sampler.history_of(getpid()) == nullptr);
 
     pid_t computed = computing.pid, slept = sleeping.pid;
@@ -240,9 +256,43 @@
     CHECK(line_on(report.str(), slept).find("call " + std::to_string(SYS_pause) + " ") != std::string::npos);
     CHECK(line_on(report.str(), stopped.pid).find("state T") != std::string::npos);
     CHECK(report.str().find("\nclocks: ") != std::string::npos);
+    CHECK(report.str().find("\ncores: ") != std::string::npos);
     CHECK(sampler.followed() == 0);
 }
 
+// Two that are pinned to one core take turns there, whatever other cores have to spare: their waits have to
+// show.
+TEST_CASE(
+    "sampler: a wait for the one core that a process is pinned to is told, with the core and who is beside "
+    "it") {
+    cpu_set_t own;
+    REQUIRE(sched_getaffinity(0, sizeof own, &own) == 0);
+    int core = 0;
+    while (!CPU_ISSET(core, &own)) core++;
+    auto compute_there = [core] {
+        cpu_set_t one;
+        CPU_ZERO(&one);
+        CPU_SET(core, &one);
+        sched_setaffinity(0, sizeof one, &one);
+        for (;;) compute();
+    };
+    std::ostringstream report;
+    Sampler sampler({.program = "", .parent = getpid()}, report);
+    Child first(compute_there), second(compute_there);
+    auto waited = [&](pid_t pid) {
+        auto* history = sampler.history_of(pid);
+        if (!history) return false;
+        auto& last = history->last();
+        return last.allowed_cores == 1 && last.core == core && last.ready_beside_it >= 1 &&
+               last.times.run_queue - history->first().times.run_queue > 20ms;
+    };
+    CHECK(sample_until(sampler, [&] { return waited(first.pid) && waited(second.pid); }));
+    sampler.finish();
+    CAPTURE(report.str());
+    CHECK(line_on(report.str(), first.pid).find("core " + std::to_string(core) + " of 1 allowed") !=
+          std::string::npos);
+}
+
 TEST_CASE("sampler: only those worse than a bound are reported, and those that are stopped") {
     std::ostringstream report;
     Sampler sampler({.program = "", .parent = getpid(), .only_worse_than = 100ms}, report);
