Sampler: a name and a parent together narrow; a small start storm in the tests

Cause: beside busy children of its own the storm's report told of these, too.

Change: where a name and a parent are given, both have to hold; the storm follows its own routers only. A storm of four pinned routers is a test.

--- a/src/rig/sampler/main.cpp
+++ b/src/rig/sampler/main.cpp
@@ -55,7 +55,8 @@
     Options options;
     int interval_ms = default_interval_ms, only_worse_than_ms = -1;
     std::string out;
-    auto* followed = app.add_option_group("followed", "which processes; both may be given");
+    auto* followed =
+        app.add_option_group("followed", "which processes; where both are given, both have to hold");
     followed->add_option("--program", options.program, "those of this name");
     followed->add_option("--children-of", options.parent, "the children of this process")
         ->check(CLI::PositiveNumber);
--- a/src/rig/sampler/sampler.cpp
+++ b/src/rig/sampler/sampler.cpp
@@ -60,8 +60,9 @@
 
 bool Sampler::wanted(const ProcessStat& stat) const {
     if (has_ended(stat) || stat.pid == getpid()) return false;
-    return (!options.program.empty() && stat.program == options.program) ||
-           (options.parent != 0 && stat.parent == options.parent);
+    if (options.program.empty() && options.parent == 0) return false;
+    return (options.program.empty() || stat.program == options.program) &&
+           (options.parent == 0 || stat.parent == options.parent);
 }
 
 void Sampler::round() {
--- a/src/rig/sampler/sampler.hpp
+++ b/src/rig/sampler/sampler.hpp
@@ -22,8 +22,9 @@
 inline constexpr std::size_t most_processes = 1024;
 
 struct Options {
-    std::string program;     // processes of this name are followed; empty: none by name
-    int parent = 0;          // the children of this process are followed; 0: of none
+    // Where both are given, both have to hold; where none is, nothing is followed.
+    std::string program;     // processes of this name; empty: of any
+    int parent = 0;          // the children of this process; 0: of any
     std::size_t ring = 256;  // samples kept a process, at least 1
     bool write_samples = false;
     // Only processes are reported that waited longer for a core, whose processor time grew by more than this
--- a/src/rig/storm/main.cpp
+++ b/src/rig/storm/main.cpp
@@ -134,7 +134,8 @@
     Storm(const StormOptions& options, std::ostream& report)
         : options(options),
           random(options.seed),
-          sampler({.program = "", .parent = getpid(), .ring = 512, .write_samples = false}, report) {
+          sampler({.program = "quillgrade", .parent = getpid(), .ring = 512, .write_samples = false},
+                  report) {
         boxes.reserve(caches);
         for (int i = 0; i < caches; i++) boxes.push_back(world.port_of_box(world.add_box()));
     }
--- a/tests/sampler_test.cpp
+++ b/tests/sampler_test.cpp
@@ -293,6 +293,18 @@
           std::string::npos);
 }
 
+TEST_CASE("sampler: where a name and a parent are given, only what has both is followed") {
+    Child sleeping([] { pause(); });
+    std::ostringstream report;
+    std::string own_name = parse_stat(first_line("/proc/self/stat"))->program;
+    Sampler both({.program = own_name, .parent = getpid()}, report),
+        other({.program = "no such", .parent = getpid()}, report), none({.program = ""}, report);
+    for (auto* sampler : {&both, &other, &none}) sampler->round();
+    CHECK(both.history_of(sleeping.pid) != nullptr);
+    CHECK(other.followed() == 0);
+    CHECK(none.followed() == 0);
+}
+
 TEST_CASE("sampler: only those worse than a bound are reported, and those that are stopped") {
     std::ostringstream report;
     Sampler sampler({.program = "", .parent = getpid(), .only_worse_than = 100ms}, report);
@@ -348,3 +360,24 @@
     CHECK(line_on(text, living.pid).find(" still there: ") != std::string::npos);
     CHECK(text.find("\nclocks: ") != std::string::npos);
 }
+
+TEST_CASE("start storm: a small one serves whole, and its routers are reported") {
+    std::string path = "/tmp/quillgrade_storm_test_" + std::to_string(getpid());
+    pid_t program = fork();
+    REQUIRE(program >= 0);
+    if (program == 0) {
+        execl(QUILLGRADE_STORM_PROGRAM, "quillgrade_start_storm", "--batches", "1", "--together", "4",
+              "--pin", "--out", path.c_str(), nullptr);
+        _exit(127);
+    }
+    int status = 0;
+    REQUIRE(waitpid(program, &status, 0) == program);
+    CHECK(WIFEXITED(status));
+    CHECK(WEXITSTATUS(status) == 0);
+    std::ostringstream report;
+    report << std::ifstream(path).rdbuf();
+    std::remove(path.c_str());
+    CAPTURE(report.str());
+    CHECK(report.str().find(" of 1 allowed") != std::string::npos);
+    CHECK(report.str().find("all: 4 processes") != std::string::npos);
+}
