Log: a poll or write interrupted by a signal is made again, no line is lost

Cause: put() took EINTR of poll(), send() and write() for a log without room and dropped the line. `serving` is among the lines, and the notice of left-out lines comes only with the next line.

Change: the three calls, none of which waits, are made again while they give EINTR.

The EINTR was put in from outside: that the system gives it for a pipe with room was not seen, so this is no cause shown for a start seen to hang.

--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -31,10 +31,20 @@
     return level == Level::Info ? "info" : level == Level::Warning ? "warning" : "error";
 }
 
+// Guards against a line that is lost because a signal came at its call. None of the calls waits, so each new
+// turn takes another signal.
+template <class SystemCall>
+auto until_not_interrupted(SystemCall call) {
+    auto result = call();
+    while (result < 0 && errno == EINTR) result = call();
+    return result;
+}
+
 bool has_room() {
     CallMark mark(Call::PollLog);
     pollfd room{STDERR_FILENO, POLLOUT, 0};
-    return poll(&room, 1, 0) == 1 && (room.revents & POLLOUT) && !(room.revents & POLLERR);
+    auto ready = until_not_interrupted([&] { return poll(&room, 1, 0); });
+    return ready == 1 && (room.revents & POLLOUT) && !(room.revents & POLLERR);
 }
 
 // Without waiting: a socket may have room for a part of the line only.
@@ -42,11 +52,12 @@
     static bool is_socket = true;  // until the system says no
     CallMark mark(Call::WriteLog);
     if (is_socket) {
-        auto sent = ::send(STDERR_FILENO, line.data(), line.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        auto sent = until_not_interrupted(
+            [&] { return ::send(STDERR_FILENO, line.data(), line.size(), MSG_DONTWAIT | MSG_NOSIGNAL); });
         if (sent >= 0 || errno != ENOTSOCK) return sent;
         is_socket = false;
     }
-    return ::write(STDERR_FILENO, line.data(), line.size());
+    return until_not_interrupted([&] { return ::write(STDERR_FILENO, line.data(), line.size()); });
 }
 
 // A log that nobody reads is no reason to stop or to wait: what it has no room for is lost. Whether the line
