Testbed: a World that can follow planned restarts, kills and leaving clients

Caches can reset, the coordinator can fall silent or go. A request that came to a cache is no crossing of a close, where that is asked for. All of it is off unless called; what the other tests count stays. The frame of a client's call is in call.hpp. A router started by the testbed inherits no descriptor of it: a client's connection lived on in the child when the client closed it.

--- a/src/rig/router.cpp
+++ b/src/rig/router.cpp
@@ -29,6 +29,8 @@
     process = fork();
     if (process == 0) {
         dup2(ends[1], STDERR_FILENO);
+        // A connection of a client of the rig that lived on in here would not end when the client closes it.
+        close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC);
         setenv("PROXY_CONFIG", config.c_str(), 1);
         for (auto& [name, value] : environment) setenv(name.c_str(), value.c_str(), 1);
         unsetenv("PROXY_LISTEN");
--- a/src/rig/world.cpp
+++ b/src/rig/world.cpp
@@ -25,6 +25,7 @@
 #include <utility>
 
 #include "bytes/bytes.hpp"
+#include "rig/call.hpp"
 #include "rig/local.hpp"
 
 namespace quillgrade::rig {
@@ -35,6 +36,8 @@
 
 // A final answer may come 50 ms after the client's time is up.
 constexpr Micros slack = 50'000, tick = 1000;
+// An attempt may begin 0.1 s after its client left, and each time limit is 50 ms longer on sockets.
+constexpr Micros after_leaving = 100'000 + slack;
 constexpr int most_open = 32;  // calls on one connection, by the protocol
 
 struct Free {
@@ -50,34 +53,6 @@
     return {static_cast<time_t>(wait / 1'000'000), static_cast<suseconds_t>(wait % 1'000'000)};
 }
 
-void put_text(std::string& out, const std::string& text) {
-    put_number(out, 4, text.size());
-    out += text;
-}
-
-std::string call(std::int32_t seq, const std::map<std::string, std::string>& fields) {
-    std::string content;
-    put_number(content, 4, 0x80010001);  // strict binary, a call
-    put_text(content, "invoke");
-    put_number(content, 4, static_cast<std::uint32_t>(seq));
-    content += std::string("\x0d\x00\x01\x0b\x0b", 5);
-    put_number(content, 4, fields.size());
-    for (auto& [name, value] : fields) {
-        put_text(content, name);
-        put_text(content, value);
-    }
-    content += std::string("\x0b\x00\x02\x00\x00\x00\x00\x00", 8);
-    std::string frame;
-    put_text(frame, content);
-    return frame;
-}
-
-std::string hex(std::uint64_t value) {
-    std::array<char, 17> text;
-    std::snprintf(text.data(), sizeof text, "%016llx", static_cast<unsigned long long>(value));
-    return text.data();
-}
-
 }  // namespace
 
 Micros unix_now() {
@@ -90,6 +65,7 @@
         Inner* world;
         int port = 0, place = 0;
         Micros delay, forbidden = 0;
+        bool resets = false;
         std::size_t bytes;
         std::uint64_t sends = 0;
         std::vector<std::string> heads;
@@ -107,6 +83,9 @@
         Micros asked, due;
         int finals = 0;
         bool again = false;  // was sent a second time
+        bool excused = false;
+        bool crossed = false;  // and could not be sent again
+        int router_port = 0;
     };
     struct Target {  // a router that is asked
         int port = 0;
@@ -115,6 +94,8 @@
         int wanted = 0;
         Micros wait = 0;
         std::size_t next_client = 0;
+        bool lets_connect = true;
+        Micros excused_from = 0;
     };
     struct Watched {
         bool noted = false;
@@ -133,7 +114,7 @@
             open;            // sequence number to lookup, until its time is up
         int unanswered = 0;  // of these
         std::int32_t seq = 0;
-        bool up = false, dead = false;
+        bool up = false, dead = false, excused = false;
     };
     struct Feed {
         Owned<bufferevent> buffer;
@@ -163,6 +144,13 @@
     Micros last_tick = 0, last_beat = 0;
     std::string field;
     std::vector<std::string> values;
+    bool silent = false, gone = false;  // the coordinator
+    Micros lateness_allowed = slack;
+    bool forwarded_is_taken = false;
+    std::set<std::string> forwarded;  // ids that came to boxes, where that counts
+    std::vector<LostRequest> lost;
+    std::set<std::string> effects;               // ids of non-idempotent requests that came to a box
+    std::map<std::string, Micros> clients_left;  // by request id
     Totals totals;
     std::vector<Micros> times;
     Owned<event> timer;
@@ -243,6 +231,12 @@
             one.box->sends++;
             if (one.box->forbidden > 0 && unix_now() > one.box->forbidden) totals.late_sends++;
         }
+        if (one.box->resets) {
+            linger at_once{1, 0};
+            setsockopt(bufferevent_getfd(one.buffer.get()), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+            served.erase(one.self);
+            return;
+        }
         auto wait = in(one.box->delay);
         evtimer_add(one.due.get(), &wait);
     }
@@ -258,6 +252,11 @@
     void observe(const Box& box, const std::string& head) {
         if (head.rfind("GET /data/", 0) != 0) return;
         auto now = unix_now();
+        auto id = field_of(head, "X-Hop-Id");
+        if (forwarded_is_taken) forwarded.insert(id);
+        if (head.rfind("GET /data/order/", 0) == 0 && !effects.insert(id).second) totals.effects_twice++;
+        auto left = clients_left.find(id);
+        if (left != clients_left.end() && now > left->second + after_leaving) totals.after_client_left++;
         auto note = [&](std::uint64_t id) {
             auto found = watched.find(id);
             if (found == watched.end()) return;
@@ -287,6 +286,10 @@
 
     // ---- the coordinator
     void feed_taken(int fd) {
+        if (gone) {
+            evutil_closesocket(fd);
+            return;
+        }
         feeds.emplace_back();
         auto& feed = feeds.back();
         feed.buffer.reset(bufferevent_socket_new(base.get(), fd, BEV_OPT_CLOSE_ON_FREE));
@@ -309,6 +312,7 @@
         auto last = bytes::Cursor({number.data(), sizeof number}).number(8);
         for (auto& feed : feeds)
             if (feed.buffer.get() == buffer) feed.asked = true;
+        if (silent) return;
         for (auto& [told, frame] : events)
             if (told > last) bufferevent_write(buffer, frame.data(), frame.size());
         beat(buffer);
@@ -331,6 +335,7 @@
     void connect_clients(Target& target) {
         int have = 0;
         for (auto& client : clients) have += client.target == &target;
+        if (!target.lets_connect) return;
         for (; have < target.wanted; have++) {
             auto& client = clients.emplace_back();
             client.world = this;
@@ -387,12 +392,19 @@
         } else {
             (member == 1 ? totals.rejected : totals.broken_off)++;
         }
-        if (now > lookup->second.due + slack) lookup->second.finals = 100;  // as good as none
+        auto late = now - lookup->second.due;
+        if (late > slack && late <= lateness_allowed) totals.late++;
+        if (late > lateness_allowed) lookup->second.finals = 100;  // as good as none
     }
 
     void ask_one(Client& client, Micros now) {
         auto id = next_id++;
-        lookups[id] = {now, now + client.target->wait, 0};
+        auto& target = *client.target;
+        bool excused = client.excused || (target.excused_from > 0 && now >= target.excused_from);
+        auto& lookup = lookups[id];
+        lookup = {now, now + target.wait};
+        lookup.excused = excused;
+        lookup.router_port = target.port;
         totals.asked++;
         send(client, id, now);
     }
@@ -402,17 +414,25 @@
         client.open[seq] = id;
         client.unanswered++;
         std::map<std::string, std::string> fields = {{"c", "page"},
-                                                     {"i", hex(id * 0x9e3779b97f4a7c15U)},
+                                                     {"i", id_of(id)},
                                                      {"d", std::to_string((lookups[id].due - now) / 1000)},
-                                                     {"o", hex(1 + id % object_count * 7919)},
+                                                     {"o", hex_of(1 + id % object_count * 7919)},
                                                      {"part", "0"},
                                                      {"group", "1"},
                                                      {"m", "1"}};
         if (!values.empty()) fields[field] = values[id % values.size()];
-        auto frame = call(seq, fields);
+        auto frame = framed_call(seq, fields);
         bufferevent_write(client.buffer.get(), frame.data(), frame.size());
     }
 
+    static std::string id_of(std::uint64_t lookup) { return hex_of(lookup * 0x9e3779b97f4a7c15U); }
+
+    bool was_forwarded(std::uint64_t lookup) {
+        if (!forwarded_is_taken) return false;
+        std::lock_guard hold(lock);
+        return forwarded.contains(id_of(lookup));
+    }
+
     // By the protocol a router may close a connection on which nothing is open, and a lookup that crosses
     // such a close within 50 ms is sent again on another connection, once.
     void bury(Micros now) {
@@ -422,8 +442,14 @@
                 auto found = lookups.find(id);
                 if (found == lookups.end()) continue;
                 auto& lookup = found->second;
-                if (lookup.finals == 0 && !lookup.again && now - lookup.asked < slack) {
+                if (lookup.finals == 0 && !lookup.again && !client.excused && now - lookup.asked < slack &&
+                    !was_forwarded(id)) {
                     lookup.again = true;
+                    // It goes to another router, by those who send clients to this one.
+                    if (!client.target->lets_connect) {
+                        lookup.crossed = true;
+                        continue;
+                    }
                     crossed.emplace_back(id, client.target);
                 }
             }
@@ -463,7 +489,7 @@
         if (now - last_beat >= 1'000'000) {
             last_beat = now;
             for (auto& feed : feeds)
-                if (feed.asked) beat(feed.buffer.get());
+                if (feed.asked && !silent) beat(feed.buffer.get());
         }
         bury(now);
         for (auto& target : targets)
@@ -475,19 +501,34 @@
         if (over) event_base_loopbreak(base.get());
     }
 
+    void note_lost(std::uint64_t id, const Lookup& lookup) {
+        bool crossed = lookup.crossed && !forwarded.contains(id_of(id));
+        if ((lookup.excused || crossed) && lookup.finals == 0) {
+            totals.excused++;
+            return;
+        }
+        totals.without_one_final++;
+        using How = LostRequest::How;
+        auto how = lookup.finals == 0     ? How::NoAnswer
+                   : lookup.finals >= 100 ? How::LateAnswer
+                                          : How::SecondAnswer;
+        if (lost.size() < 1000) lost.push_back({how, lookup.router_port, lookup.asked, lookup.due});
+    }
+
     // A lookup whose time is up has had its one final answer, or not.
     void judge(Micros now) {
         std::lock_guard hold(lock);
         for (auto& client : clients)
             std::erase_if(client.open, [&](auto& entry) {
                 auto found = lookups.find(entry.second);
-                if (found != lookups.end() && now <= found->second.due + 2 * slack) return false;
+                if (found != lookups.end() && now <= found->second.due + lateness_allowed + slack)
+                    return false;
                 if (found != lookups.end() && found->second.finals == 0) client.unanswered--;
                 return true;
             });
         std::erase_if(lookups, [&](auto& entry) {
-            if (now <= entry.second.due + 2 * slack) return false;
-            if (entry.second.finals != 1) totals.without_one_final++;
+            if (now <= entry.second.due + lateness_allowed + slack) return false;
+            if (entry.second.finals != 1) note_lost(entry.first, entry.second);
             return true;
         });
     }
@@ -561,7 +602,8 @@
         auto frame = Inner::frame(number, kind, payload);
         inner->events.emplace_back(number, frame);
         for (auto& feed : inner->feeds)
-            if (feed.asked) bufferevent_write(feed.buffer.get(), frame.data(), frame.size());
+            if (feed.asked && !inner->silent)
+                bufferevent_write(feed.buffer.get(), frame.data(), frame.size());
     });
 }
 
@@ -591,6 +633,76 @@
     });
 }
 
+void World::let_connect(int router_port, bool allowed) {
+    inner->run([&] {
+        for (auto& target : inner->targets)
+            if (target.port == router_port) target.lets_connect = allowed;
+    });
+}
+
+void World::excuse_open(int router_port) {
+    inner->run([&] {
+        for (auto& client : inner->clients) {
+            if (client.target->port != router_port) continue;
+            client.excused = true;
+            for (auto& [seq, id] : client.open)
+                if (auto found = inner->lookups.find(id); found != inner->lookups.end())
+                    found->second.excused = true;
+        }
+    });
+}
+
+void World::excuse_from(int router_port, Micros from) {
+    inner->run([&] {
+        for (auto& target : inner->targets)
+            if (target.port == router_port) target.excused_from = from;
+    });
+}
+
+std::vector<LostRequest> World::take_lost() {
+    std::lock_guard hold(inner->lock);
+    return std::exchange(inner->lost, {});
+}
+
+void World::client_left(const std::string& id, Micros at) {
+    std::lock_guard hold(inner->lock);
+    inner->clients_left.emplace(id, at);
+}
+
+void World::allow_lateness(Micros lateness) {
+    inner->run([&] { inner->lateness_allowed = lateness; });
+}
+
+void World::hold_forwarded_as_taken() {
+    inner->run([&] { inner->forwarded_is_taken = true; });
+}
+
+void World::ask_now(int router_port, int count) {
+    inner->run([&] {
+        for (auto& target : inner->targets)
+            if (target.port == router_port && target.per_s > 0) target.owed += count;
+    });
+}
+
+void World::set_resetting(int box, bool resets) {
+    inner->run([&] { inner->boxes.at(static_cast<std::size_t>(box))->resets = resets; });
+}
+
+void World::coordinator_silent(bool silent) {
+    inner->run([&] {
+        inner->silent = silent;
+        // What was told meanwhile reaches the routers when they ask again.
+        if (!silent) inner->feeds.clear();
+    });
+}
+
+void World::coordinator_gone(bool gone) {
+    inner->run([&] {
+        inner->gone = gone;
+        if (gone) inner->feeds.clear();
+    });
+}
+
 void World::watch(std::uint64_t id) {
     std::lock_guard hold(inner->lock);
     inner->watched[id].noted = true;
--- a/src/rig/world.hpp
+++ b/src/rig/world.hpp
@@ -23,6 +23,18 @@
     std::uint64_t sends = 0;       // requests at boxes, in all
     std::uint64_t late_named = 0;  // requests that went to, or named as their source, a server past its grace
     std::uint64_t older = 0;       // requests that would take a copy from before a purge past its grace
+    std::uint64_t excused = 0;     // without one final too, but excused: see excuse_open() and excuse_from()
+    std::uint64_t late = 0;        // final answers over 50 ms late that allow_lateness() lets count
+    std::uint64_t effects_twice = 0;      // non-idempotent requests that came whole to a box a second time
+    std::uint64_t after_client_left = 0;  // requests at boxes, too long after their client had gone
+};
+
+// A request that was not excused and did not get exactly one final answer in time.
+struct LostRequest {
+    enum class How { NoAnswer, LateAnswer, SecondAnswer };
+    How how;
+    int router_port;
+    Micros asked, due;
 };
 
 class World {
@@ -62,6 +74,30 @@
              std::uint32_t host = 0x7f000001);
     // The same beside the others that are asked already; 0 per second: that one no more.
     void ask_also(int router_port, double per_s, int connections, Micros wait, std::uint32_t host);
+    // Whether clients of this router make new connections; they go on using those that are open.
+    void let_connect(int router_port, bool allowed);
+    // What is or will be asked on the connections that are open now counts as excused where it is lost: the
+    // router is about to be killed without a warning.
+    void excuse_open(int router_port);
+    // The same for what is asked of this router from that time on; 0: nothing.
+    void excuse_from(int router_port, Micros from);
+    // Answers may come so long after the client's time and count as one final answer all the same; those that
+    // come over 50 ms late are counted as late. 50 ms at first.
+    void allow_lateness(Micros lateness);
+    // From now on a request that has come to a box was taken by its router: a connection that ends under it
+    // is no crossing, however young the request is.
+    void hold_forwarded_as_taken();
+    // So many requests at once, as many as clients' connections take; no more than a second's.
+    void ask_now(int router_port, int count);
+    // Lost requests since the last call.
+    std::vector<LostRequest> take_lost();
+    // The client of this request (its 16 hex digits) has gone: no attempt may come to a box much later.
+    void client_left(const std::string& id, Micros at);
+    // Whether a box resets the connection of each request instead of answering.
+    void set_resetting(int box, bool resets);
+    // Whether the coordinator sends anything, and whether it takes connections.
+    void coordinator_silent(bool silent);
+    void coordinator_gone(bool gone);
     // A field that clients tell, its values in turn; none: it is not told.
     void say(const std::string& field, const std::vector<std::string>& values);
     // Objects are asked for in turn from so many; 997 at first.
