Membership: no verdict without a last ping that was sent

Cause: the ping before a verdict had the bytes of gossip. Shared facts leave fewer than that in a burst of purges, so it was not sent, but was taken for sent; and where a second accuser was heard of after the shortest time, the verdict came at once and without it.

Change: the ping has the priority of answers, counts once it was sent, and is made before the shortest time has passed, also with one accuser alone (one more before the longest). Where it was late the verdict waits two periods, where it can't be sent as long as for a single accuser.

--- a/src/peers/membership.cpp
+++ b/src/peers/membership.cpp
@@ -51,7 +51,7 @@
       me{start.life, Phase::Here, 0, Verdict::Alive, false},
       members(static_cast<std::size_t>(start.routers)),
       probe_schedule(start.self, start.routers, start.rates.period),
-      suspicions({start.rates.shortest, start.rates.longest}),
+      suspicions({start.rates.shortest, start.rates.longest, 2 * start.rates.period}),
       reachability(start.self),
       gossip(start.routers),
       local_health(start.rates.gap, start.now),
--- a/src/peers/membership.hpp
+++ b/src/peers/membership.hpp
@@ -223,6 +223,7 @@
     void about_me(const MemberState& told);
     void accuse(Number who, Number accuser, Micros age, Micros now);
     void judge(Micros now);
+    bool make_last_call(Number who, Micros now);
     bool asks_accused();
     void note(Number who, Number by, Micros now);
     void note_cut(Number speaker, Number listener, bool cut, Number by, Micros now);
--- a/src/peers/membership_suspicion.cpp
+++ b/src/peers/membership_suspicion.cpp
@@ -36,22 +36,12 @@
 void Membership::judge(Micros now) {
     std::vector<Number> due, last_calls;
     for (auto& [who, one] : suspicions.all()) {
-        auto when = suspicions.due(one, at(who).heard);
-        if (!one.ask_first && now >= when) due.push_back(who);
-        if (!one.last_call && now < when && now >= when - 2 * rates.period) last_calls.push_back(who);
-    }
-    // Guards against a verdict by a router that alone has missed the answer to the accusation: it asks the
-    // accused once more, or one more of the others, and tells them what it holds, who put it right if they
-    // know better.
-    for (auto who : last_calls) {
-        Message ping;
-        ping.kind = Kind::Ping;
-        suspicions.called(who);
-        bool asks = asks_accused();
-        if (asks) send(who, ping, SendPriority::News, now);
-        for (auto other : pick(asks ? witnesses_beside_accused : witnesses_alone, who))
-            send(other, ping, SendPriority::News, now, {{who, at(who).member_state}});
+        if (!one.ask_first && now >= suspicions.verdict_at(one, at(who).heard)) due.push_back(who);
+        if (suspicions.wants_last_call(one, at(who).heard, now)) last_calls.push_back(who);
     }
+    // One that can't be made yet for want of bytes is tried again at the next pass.
+    for (auto who : last_calls)
+        if (make_last_call(who, now)) suspicions.called(who, now);
     for (auto who : due) {
         suspicions.acquit(who);
         if (at(who).member_state.verdict != Verdict::Suspected) continue;
@@ -61,6 +51,20 @@
     }
 }
 
+// Guards against a verdict by a router that alone has missed the answer to the accusation: it asks the
+// accused once more, or one more of the others, and tells them what it holds, who put it right if they know
+// better. False where nothing could be sent.
+bool Membership::make_last_call(Number who, Micros now) {
+    if (bytes_left(now) <= rates.bytes_per_s * kept_back(SendPriority::Answer)) return false;
+    Message ping;
+    ping.kind = Kind::Ping;
+    bool asks = asks_accused();
+    bool sent = asks && send(who, ping, SendPriority::Answer, now);
+    for (auto other : pick(asks ? witnesses_beside_accused : witnesses_alone, who))
+        sent |= send(other, ping, SendPriority::Answer, now, {{who, at(who).member_state}});
+    return sent;
+}
+
 // Guards against an accused router that all others ping at the same moment: it can answer a small part of
 // them. Those that don't ping it ask one more witness. With few routers all ping it, as there are no more.
 bool Membership::asks_accused() {
--- a/src/peers/suspicion.cpp
+++ b/src/peers/suspicion.cpp
@@ -29,6 +29,20 @@
     return std::max(suspicion.since, heard) + wait;
 }
 
+Micros Suspicions::verdict_at(const Suspicion& suspicion, Micros heard) const {
+    auto when = due(suspicion, heard);
+    if (suspicion.called_at == 0) return std::max(when, std::max(suspicion.since, heard) + times.longest);
+    bool in_time = suspicion.called_at <= when - times.to_answer / 2;
+    return in_time ? when : suspicion.called_at + times.to_answer;
+}
+
+bool Suspicions::wants_last_call(const Suspicion& suspicion, Micros heard, Micros now) const {
+    auto shortest_due = std::max(suspicion.since, heard) + times.shortest;
+    if (suspicion.called_at == 0) return now >= shortest_due - times.to_answer;
+    auto from = due(suspicion, heard) - times.to_answer;
+    return now >= from && suspicion.called_at < from - times.to_answer;
+}
+
 void Suspicions::set_back(Micros away) {
     for (auto& [who, one] : open) {
         one.since += away;
--- a/src/peers/suspicion.hpp
+++ b/src/peers/suspicion.hpp
@@ -16,13 +16,14 @@
     Micros since = 0;              // of the first accusation, as far as known
     std::vector<Number> accusers;  // different ones, two at most
     bool ask_first = false;        // I was away: probe it myself before judging
-    bool last_call = false;        // it was pinged once more, shortly before the verdict
+    Micros called_at = 0;          // when it was asked about once more, before the verdict; 0: not yet
 };
 
 class Suspicions {
 public:
     struct Times {
         Micros shortest, longest;
+        Micros to_answer;  // a last call is made so long before the verdict
     };
     explicit Suspicions(Times times) : times(times) {}
 
@@ -30,11 +31,18 @@
     bool accuse(Number who, Number accuser, Micros age, Micros now);
     void acquit(Number who) { open.erase(who); }
     const Suspicion* find(Number who) const;
-    // When it becomes a verdict. A router that was heard at `heard` itself has the time from then.
+    // When it becomes a verdict, where a last call has been made in time. A router that was heard at `heard`
+    // itself has the time from then.
     Micros due(const Suspicion& suspicion, Micros heard) const;
+    // The same, put off where the last call came late or has not been made yet: until its answers could come,
+    // and as long as for a single accuser at most.
+    Micros verdict_at(const Suspicion& suspicion, Micros heard) const;
+    // A first one is due before the shortest time has passed, so that a second accuser who is heard of later
+    // finds it made; where none is, one more before the longest.
+    bool wants_last_call(const Suspicion& suspicion, Micros heard, Micros now) const;
     // The router was away for so long: nobody is judged by what fell into that time.
     void set_back(Micros away);
-    void called(Number who) { open.at(who).last_call = true; }
+    void called(Number who, Micros now) { open.at(who).called_at = now; }
     void asked(Number who);  // it has been, and has not answered
     const std::map<Number, Suspicion>& all() const { return open; }
 
--- a/tests/peers_test.cpp
+++ b/tests/peers_test.cpp
@@ -159,7 +159,7 @@
 }
 
 TEST_CASE("a second accuser shortens the time to answer, the same one twice does not") {
-    Suspicions suspicions({2 * second, 8 * second});
+    Suspicions suspicions({2 * second, 8 * second, second});
     suspicions.accuse(5, 1, 0, noon_at);
     suspicions.accuse(5, 1, 0, noon_at + second);
     CHECK(suspicions.due(*suspicions.find(5), 0) == noon_at + 8 * second);
