Membership: a verdict without bytes for its last ping waits two periods more

A router that could not send the last ping waited as long as for a single accuser: with 1,000 routers at 300 bytes a second that made detection slower. Now two periods beyond its time.

--- a/src/peers/suspicion.cpp
+++ b/src/peers/suspicion.cpp
@@ -31,7 +31,7 @@
 
 Micros Suspicions::verdict_at(const Suspicion& suspicion, Micros heard) const {
     auto when = due(suspicion, heard);
-    if (suspicion.called_at == 0) return std::max(when, std::max(suspicion.since, heard) + times.longest);
+    if (suspicion.called_at == 0) return when + times.to_answer;
     bool in_time = suspicion.called_at <= when - times.to_answer / 2;
     return in_time ? when : suspicion.called_at + times.to_answer;
 }
--- a/src/peers/suspicion.hpp
+++ b/src/peers/suspicion.hpp
@@ -35,7 +35,7 @@
     // itself has the time from then.
     Micros due(const Suspicion& suspicion, Micros heard) const;
     // The same, put off where the last call came late or has not been made yet: until its answers could come,
-    // and as long as for a single accuser at most.
+    // and no longer than that where none can be made.
     Micros verdict_at(const Suspicion& suspicion, Micros heard) const;
     // A first one is due before the shortest time has passed, so that a second accuser who is heard of later
     // finds it made; where none is, one more before the longest.
