A router without facts is heard saying so where facts alone are shared

Cause: a router without facts that sees another digest insists on saying so, but with quotas off its payload holds no field other than the default, so it has no bytes, and the membership does not pass on an empty payload. The datagram is spent and the receiver does not learn that the sender is behind.

Change: such a payload carries the sender's time, a field that every receiver reads already. Only to a router whose digest differs, so a tier without facts sends no more bytes than before.

Measured: the new test case failed before (0 payloads heard, 1 expected) and passes; all 44 cases of facts_spread and of the files named shared pass (74,260 assertions).

--- a/src/shared/exchange.cpp
+++ b/src/shared/exchange.cpp
@@ -278,6 +278,9 @@
         load.asks = post->second.asks;
     }
     auto place = static_cast<std::size_t>(to);
+    // Guards against a router without facts that nobody hears say so: without quotas its payload would be
+    // empty, and an empty one is not heard.
+    load.never_empty = terms.parts.facts && unlike[place];
     std::size_t news = 0;
     if (terms.parts.facts) {
         load.facts = facts.next(facts_a_datagram, now, to);
--- a/src/shared/payload.cpp
+++ b/src/shared/payload.cpp
@@ -137,6 +137,10 @@
         told->set_before(one.epoch != load.counts.front().epoch);
         if (!fits(wire.mutable_counts(), fitted.counts)) break;
     }
+    if (load.never_empty && wire.ByteSizeLong() == 0) {
+        wire.set_now(static_cast<std::uint64_t>(now));
+        if (wire.ByteSizeLong() > room) return {};
+    }
     if (wire.ByteSizeLong() > room) return {};  // not reached: what did not fit was taken off again
     fitted.bytes = wire.SerializeAsString();
     return fitted;
--- a/src/shared/payload.hpp
+++ b/src/shared/payload.hpp
@@ -22,6 +22,7 @@
     Breadth breadth;
     std::vector<Complaint> complaints;
     std::vector<Count> counts;
+    bool never_empty = false;  // written even where it tells of nothing: that, too, is to be heard
 };
 
 // Empty where it is malformed or a number is out of range; then all of it is dropped. `now`: Unix
@@ -29,7 +30,8 @@
 std::optional<Payload> decode(std::string_view bytes, Micros now);
 
 // Writes what fits into `room` bytes, in this order: terms and digest, grants, asks, facts, complaints,
-// counts. Each kind in its own order; `fitted` tells how many of each.
+// counts. Each kind in its own order; `fitted` tells how many of each. One that tells of nothing has no
+// bytes, unless it is `never_empty`.
 struct Fitted {
     std::string bytes;
     std::size_t facts = 0, asks = 0, grants = 0, complaints = 0, counts = 0;
--- a/tests/facts_spread_test.cpp
+++ b/tests/facts_spread_test.cpp
@@ -34,10 +34,12 @@
 // A small tier in simulated time, each router of which asks for objects of a few thousand.
 class Tier {
 public:
-    Tier(int routers, std::uint64_t seed, double asked_per_s, rig::LinkConditions conditions)
+    Tier(int routers, std::uint64_t seed, double asked_per_s, rig::LinkConditions conditions,
+         Parts parts = {})
         : asked_per_s(asked_per_s), chance(static_cast<std::uint32_t>(seed)) {
         auto& terms = rig::partner_terms();
         terms.exchange = {};
+        terms.exchange.parts = parts;
         terms.exchange.site = rig::shared_site();
         terms.steady = [this] { return fleet ? fleet->now() : 0; };
         fleet = std::make_unique<rig::SharedFleet>(routers, 1, seed, peers::Rates{}, conditions);
@@ -189,6 +191,23 @@
     CHECK(told == 1);
 }
 
+// Guards against a payload of a router without facts that is empty, and so is not heard, where quotas are
+// off.
+TEST_CASE("a router that knows of no fact is told by who it tells so, with facts alone shared") {
+    Tier tier(3, 1, 0, {0, 3 * ms, 24 * ms, 0, 0}, {true, false, false, false});
+    tier.go_until_all_are_alive();
+    tier.go(5 * second);
+    REQUIRE(tier.fleet->protocol(1)->exchange().known().size() == 0);
+    int told = 0;
+    tier.fleet->on_send = [&](int from, int to, const std::string& bytes) {
+        auto sent = decoded(tier, bytes);
+        told += from == 1 && to == 0 && sent && !sent->message.payload.empty();
+    };
+    tier.show_other_digest(0, 1);
+    tier.go(second);
+    CHECK(told == 1);
+}
+
 TEST_CASE("tellings are not used up on the router that told the fact, yet end where there is no other") {
     constexpr Number teller = 3, other = 4;
     constexpr Micros now = 1'764'576'000 * second;
