Hollow run: tell late answers from none, and how long clients and caches had no core

An answer that comes while the testbed has no core is read late and counts as late.

Change: `requests_answered_late` and `client_gap_ms` in the table and the JSON.

--- a/src/rig/hollow/real_routers.hpp
+++ b/src/rig/hollow/real_routers.hpp
@@ -40,6 +40,7 @@
     pid_t id(int place) const { return processes.at(static_cast<std::size_t>(place))->id(); }
     Usage usage(int place) const { return usage_of(id(place)); }
     Totals totals() const { return world.totals(); }
+    std::vector<LostRequest> take_lost() { return world.take_lost(); }
     // What the routers logged of others that they declared dead.
     std::vector<DeathDeclarations> deaths() const;
 
--- a/src/rig/hollow/run_result.cpp
+++ b/src/rig/hollow/run_result.cpp
@@ -72,8 +72,12 @@
     fmt::print("know 99%: {} of {} restarted, {} of {} of a killed worker, {} of {} started at once\n",
                result.restarted.know, result.restarted.started, result.after_loss.know,
                result.after_loss.started, result.together.know, result.together.started);
-    fmt::print("requests {}, served {}, without one response {}\n", result.requests, result.requests_served,
-               result.requests_without_one_response);
+    fmt::print(
+        "requests {}, served {}, without one response {}, {} of them answered late; clients and caches did "
+        "not "
+        "run for {} ms at most\n",
+        result.requests, result.requests_served, result.requests_without_one_response,
+        result.requests_answered_late, result.client_gap_ms);
     fmt::print(
         "living routers declared dead: {} ({} of them held up, {} declarations); hollow routers held up: {} "
         "times, {} while "
@@ -126,6 +130,8 @@
                  {"requests", result.requests},
                  {"requests_served", result.requests_served},
                  {"requests_without_one_response", result.requests_without_one_response},
+                 {"requests_answered_late", result.requests_answered_late},
+                 {"client_gap_ms", result.client_gap_ms},
                  {"false_dead", result.false_dead},
                  {"false_dead_held_up", result.false_dead_held_up},
                  {"false_dead_declarations", result.false_dead_declarations},
--- a/src/rig/hollow/run_result.hpp
+++ b/src/rig/hollow/run_result.hpp
@@ -44,8 +44,10 @@
     StartFigures together, restarted, after_loss;
     int killed_and_back = 0;  // routers of the killed worker that have the last event
     std::uint64_t requests = 0, requests_served = 0, requests_without_one_response = 0;
-    int false_dead = 0;                         // living routers declared dead
-    int false_dead_held_up = 0;                 // of them, those that had not run for a while themselves
+    std::uint64_t requests_answered_late = 0;  // of those without one response: it came, too late
+    std::int64_t client_gap_ms = 0;  // the longest time in which clients and caches did not run themselves
+    int false_dead = 0;              // living routers declared dead
+    int false_dead_held_up = 0;      // of them, those that had not run for a while themselves
     std::uint64_t false_dead_declarations = 0;  // by router and subject
     // Times that a hollow router had not run for a while: in all, and while costs were measured.
     std::uint64_t times_away = 0, times_away_measured = 0;
--- a/src/rig/hollow/supervisor.cpp
+++ b/src/rig/hollow/supervisor.cpp
@@ -372,6 +372,10 @@
     result.requests = totals.asked;
     result.requests_served = totals.handled;
     result.requests_without_one_response = totals.without_one_final;
+    result.client_gap_ms = totals.longest_gap / 1000;
+    auto lost = real->take_lost();
+    auto late = [](auto& one) { return one.how == LostRequest::How::LateAnswer; };
+    result.requests_answered_late = static_cast<std::uint64_t>(std::count_if(lost.begin(), lost.end(), late));
 }
 
 void Supervisor::judge_promises() {
--- a/src/rig/world.cpp
+++ b/src/rig/world.cpp
@@ -478,6 +478,13 @@
         }
     }
 
+    // An answer that comes while the observer gets no core is read late, and taken for late.
+    void note_gap(Micros now) {
+        if (last_tick == 0) return;
+        std::lock_guard hold(lock);
+        totals.longest_gap = std::max(totals.longest_gap, now - last_tick);
+    }
+
     void each_tick() {
         std::vector<std::function<void()>> now_due;
         {
@@ -491,6 +498,7 @@
             for (auto& feed : feeds)
                 if (feed.asked && !silent) beat(feed.buffer.get());
         }
+        note_gap(now);
         bury(now);
         for (auto& target : targets)
             if (target.per_s > 0) ask_target(target, now);
--- a/src/rig/world.hpp
+++ b/src/rig/world.hpp
@@ -27,6 +27,7 @@
     std::uint64_t late = 0;        // final answers over 50 ms late that allow_lateness() lets count
     std::uint64_t effects_twice = 0;      // non-idempotent requests that came whole to a box a second time
     std::uint64_t after_client_left = 0;  // requests at boxes, too long after their client had gone
+    Micros longest_gap = 0;               // in which the observer itself, clients and boxes, did not run
 };
 
 // A request that was not excused and did not get exactly one final answer in time.
