Keep a parent's cold budget to the true end of its cold time where a clock is ahead

Cause: the budget's growth is reckoned 250 ms late, as a router's Unix clock may be that much ahead, but its end was not. A router 100 ms ahead took the parent for warm 100 ms early and sent without a quota until the true end.

Change: where budgets are shared, Exchange keeps them for 250 ms longer than the settings' parent_cold, and Turn::share gives the module the same length. Without sharing, or without stated links, nothing changes.

--- a/src/node/turn.cpp
+++ b/src/node/turn.cpp
@@ -18,6 +18,11 @@
       router(launch.facts, launch.seed),
       upkeep(base, [this] { this->gathered.emplace_back(TendDue{}); }) {}
 
+void Turn::share(shared::Exchange* with) {
+    exchange = with;
+    router.parent_cold = exchange ? exchange->parent_cold() : facts.parent_cold;
+}
+
 void Turn::take(Gathered batch, Micros reading) {
     now = reading;
     until.clear();
--- a/src/node/turn.hpp
+++ b/src/node/turn.hpp
@@ -19,7 +19,7 @@
 class Turn {
 public:
     Turn(const launch::Launch& launch, event_base* base, Gathered& gathered, Front& front, Pool& pool);
-    void share(shared::Exchange* with) { exchange = with; }  // null: nothing is shared
+    void share(shared::Exchange* with);  // null: nothing is shared
     void take(Gathered batch, Micros reading);
     void tend(Micros reading);
     void leave(Micros by) { leave_by = by; }  // lookups taken from now on are answered by then
--- a/src/shared/exchange.cpp
+++ b/src/shared/exchange.cpp
@@ -116,7 +116,7 @@
         if (told.complete) cold.clear();
         for (auto& endpoint : told.caches) {
             auto& entry = endpoint.entry;
-            bool warm = entry.started <= 0 || now.unix >= entry.started + terms.site.parent_cold;
+            bool warm = entry.started <= 0 || now.unix >= entry.started + parent_cold();
             if (!is_parent(entry) || entry.listed == Listed::Gone || warm)
                 cold.erase(entry.id);
             else
@@ -137,7 +137,7 @@
         std::erase_if(cold, [&](auto& known) {
             auto& entry = known.second;
             auto age = now.unix - entry.started;
-            if (age >= terms.site.parent_cold) return true;
+            if (age >= parent_cold()) return true;
             // As it stands at the end of a window: what is used now is weighed against all of the window
             // before.
             auto grown = age + terms.site.cold_window - clocks_apart;
@@ -207,6 +207,13 @@
 
 // ---- quotas
 
+// Guards against a router whose clock is ahead: by it the cold time would end early, and what it sends until
+// the true end would be bounded by nothing.
+Micros Exchange::parent_cold() const {
+    bool shared = terms.parts.quotas && terms.site.ratings_are_links;
+    return terms.site.parent_cold + (shared ? clocks_apart : 0);
+}
+
 std::vector<CacheId> Exchange::young() const {
     std::vector<CacheId> all;
     for (auto& [id, entry] : cold) all.push_back(id);
--- a/src/shared/exchange.hpp
+++ b/src/shared/exchange.hpp
@@ -61,6 +61,9 @@
     void purged(const feed::PurgeNotice& notice, const Times& now);
     Facts::Changes pass(Micros live, const Times& now);
 
+    // How long after its start, by this machine's clock, a parent is to be taken for cold: where budgets are
+    // shared, longer than the settings say by as much as the clock may be ahead.
+    Micros parent_cold() const;
     // Servers whose cold budget is shared now.
     std::vector<CacheId> young() const;
     double right(CacheId server, const Times& now);  // below 0: its budget is not shared
--- a/tests/shared_test.cpp
+++ b/tests/shared_test.cpp
@@ -9,6 +9,7 @@
 #include "helpers.hpp"
 #include "operate/plan.hpp"
 #include "rig/fleet/budget.hpp"
+#include "rig/partner.hpp"
 #include "shared/exchange.hpp"
 
 using namespace quillgrade;
@@ -695,6 +696,56 @@
     CHECK(rig::judge(seen, 0, 5'000'000, terms).exceeded == 0);
 }
 
+// What a router with a fast clock sent in the last moments of a server's cold time was bounded by nothing: by
+// its own clock that time was over.
+TEST_CASE("a cold budget holds to the end of the cold time by the slowest clock that is allowed") {
+    constexpr Micros ahead = 250 * ms;
+    peers::Start start;
+    start.self = 0;
+    start.routers = 12;
+    start.now = noon_at;
+    peers::Membership membership(start);
+    Terms terms;
+    terms.site = rig::shared_site();
+    terms.now = {noon_at, 1000 * second};
+    Exchange exchange(membership, terms);
+    feed::Endpoint parent;
+    parent.entry = {101, Listed::Ready, 4, terms.site.parent_kind, 0, 0, noon_at};
+    auto at = [&](Micros age) { return Times{noon_at + age, 1000 * second + age}; };
+    auto is_shared = [&](Micros age) {
+        exchange.pass(1, at(age));
+        return exchange.right(101, at(age)) >= 0;
+    };
+    exchange.listed(listing({parent}), at(0));
+    const auto cold = terms.site.parent_cold;
+    CHECK(exchange.parent_cold() == cold + ahead);
+    CHECK(is_shared(cold - ms));
+    CHECK(is_shared(cold + ahead - ms));
+    CHECK(!is_shared(cold + ahead));
+    // A list that tells the server anew, in that moment, changes nothing.
+    exchange.listed(listing({parent}), at(cold + ahead - ms));
+    CHECK(is_shared(cold + ahead - ms));
+    exchange.listed(listing({parent}), at(cold + ahead));
+    CHECK(!is_shared(cold + ahead));
+}
+
+TEST_CASE("where no budget is shared, a server's cold time is that of the settings") {
+    peers::Start start;
+    start.self = 0;
+    start.routers = 12;
+    start.now = noon_at;
+    for (bool links : {false, true}) {
+        peers::Membership membership(start);
+        Terms terms;
+        terms.site = rig::shared_site();
+        terms.site.ratings_are_links = links;
+        terms.parts.quotas = !links;
+        terms.now = {noon_at, 1000 * second};
+        Exchange exchange(membership, terms);
+        CHECK(exchange.parent_cold() == terms.site.parent_cold);
+    }
+}
+
 // ---- in the module
 
 TEST_CASE("a cold server gets what the right allows, used up by what is sent") {
