--- a/review/play.sh
+++ b/review/play.sh
@@ -6,7 +6,7 @@
 run=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/balancer.toml)
 [[ -n $run && -x build/quillgrade && -x build/review/$2 ]] || { echo "build first: deploy file, review/build.sh"; exit 2; }
 temporary=$(mktemp -d) || exit 2
-trap 'rm -rf "$temporary"' EXIT
+trap "[ -n \"\$KEEP\" ] || rm -rf $temporary" EXIT
 TMPDIR=$temporary timeout -k 3 115 "build/review/$2" "$folder" "$run"
 code=$?
 if [[ $code != 0 && $code != 1 ]]; then exit 2; fi
