--- a/review/stand/site.hpp
+++ b/review/stand/site.hpp
@@ -27,10 +27,10 @@
            "]}}]}";
 }
 
-// partner-schools.toml with two schools: three routers, eight boxes, two parents, the origin. `zone`: the
-// place of the router's school in the zones.
-inline std::string partner_schools(int index, int zone) {
-    return text(R"({"balancers":3,"index":%d,"zone":%d,"zones":["central","school-1","school-2"],
+// partner-schools.toml with three routers, two at school-1 and one at school-2, or with `zones` 2 all at
+// school-1. `zone`: the place of the router's school in the zones.
+inline std::string partner_schools(int index, int zone, int zones = 3) {
+    return text(R"({"balancers":3,"index":%d,"zone":%d,"zones":%s,
  "flavors":["small-box","large-box","parent","origin"],"weights":"nominal","discovery":"push",
  "domain_type":"edge","worth_by":"request","tenants":[],"clients":{"marks_retry":true},
  "grades":[{"name":"lesson-video","promise":500000,"aim_stretch":1.6,"effect":"retryable",
@@ -44,11 +44,14 @@
  "safety":{"cold_from":0.22,"fall_multiple":3,"cold":18000000,"overload_for":1000000,
   "drain_grace":2000000,"answer_slack":50000},
  "family_info":{"shield_kind":2,"master_kind":3,"fresh_for":[0,20000000],"grace_for":[0,0],
-  "pass_on":[false,false],"in_parts":[true,false],"count_by_zone":[0,2,1],"can_join":false,"direct":true,
+  "pass_on":[false,false],"in_parts":[true,false],"count_by_zone":%s,"can_join":false,"direct":true,
   "sideways":"location","notes_given":"hit","client_kb_per_s":7500,"purge_done":6000000,
   "obey_after":1000000,"parent_cold_from":0.073,"parent_limit_factor":2,"parent_cold":22000000,
-  "hub_of":[0,0,0],"link_in_kb_per_s":[0,62781,63313]}})",
-                index, zone);
+  "hub_of":%s,"link_in_kb_per_s":%s}})",
+                index, zone,
+                zones == 2 ? R"(["central","school-1"])" : R"(["central","school-1","school-2"])",
+                zones == 2 ? "[0,3]" : "[0,2,1]", zones == 2 ? "[0,0]" : "[0,0,0]",
+                zones == 2 ? "[0,62781]" : "[0,62781,63313]");
 }
 
 // bureau-network.toml with one branch: two routers, six boxes, two parents, the main archive.
