--- a/review/2/big_orders.cpp
+++ b/review/1/big_orders.cpp
@@ -124,15 +124,15 @@
                     return Fields{{"c", "term-pages"}, {"d", "2500"},  {"o", hex(0x1000 + chance() % 400)},
                                   {"part", "0"},       {"group", "7"}, {"m", "300"}};
                 },
-                static_cast<std::uint64_t>(router->port));
+                clients.size());
         }
         std::atomic<bool> over = false;
         std::vector<Order> orders;
         std::list<std::thread> threads;
         // 1.5 orders a second at each router.
         for (auto& router : routers)
-            threads.emplace_back([&, port = router->port] {
-                std::mt19937_64 chance(static_cast<std::uint64_t>(port) + 1);
+            threads.emplace_back([&, port = router->port, seed = 100 + threads.size()] {
+                std::mt19937_64 chance(seed);
                 std::string body(document, 'd');
                 std::list<std::thread> placed;
                 for (Micros at = now(); !over; at += 660 * ms) {
@@ -200,7 +200,10 @@
             record.line("RULE lost: order %s was written whole, its connection was ended with no answer (%s)",
                         order.id.c_str(), order.end.c_str());
         }
-        for (auto& one : clients) one->close();
+        for (auto& one : clients) {
+            one->close();
+            one->write_down();
+        }
         for (auto& router : routers)
             if (router->ended()) {
                 std::fprintf(stderr, "%s has ended by itself\n", router->name.c_str());
--- a/review/3/rolled_back.cpp
+++ b/review/3/rolled_back.cpp
@@ -96,7 +96,7 @@
                             {"c", "timetable-page"}, {"d", "2500"},  {"o", hex(0x1000 + chance() % 400)},
                             {"part", "0"},           {"group", "7"}, {"m", "450"}};
                     },
-                    static_cast<std::uint64_t>(router->port) + clients.size());
+                    clients.size());
             }
         };
         ask(usual);
@@ -153,7 +153,10 @@
             for (auto& request : one->all()) ends[request.finals == 1 ? name_of(request.end) : "none"]++;
         std::string counted;
         for (auto& [end, number] : ends) counted += text(" %s %d", end.c_str(), number);
-        for (auto& one : clients) one->close();
+        for (auto& one : clients) {
+            one->close();
+            one->write_down();
+        }
         for (auto& router : routers)
             if (router->ended()) {
                 std::fprintf(stderr, "%s has ended by itself\n", router->name.c_str());
--- a/review/stand/stand.hpp
+++ b/review/stand/stand.hpp
@@ -625,6 +625,15 @@
         std::lock_guard lock(mutex);
         return requests;
     }
+    // What was sent and answered, a line each.
+    void write_down() {
+        for (auto& request : all())
+            record.line("%s: %s %s/%s/%d sent at %.3f: %s after %.3f s, %d final answers", name.c_str(),
+                        request.id.c_str(), request.kind.c_str(), request.object.c_str(), request.part,
+                        record.at(request.asked), request.finals ? name_of(request.end) : "no answer",
+                        request.finals ? static_cast<double>(request.answered - request.asked) / second : 0,
+                        request.finals);
+    }
     std::atomic<int> untold = 0;  // no connection took them
 
 private:
