--- a/review/3/rolled_back.cpp
+++ b/review/seen/rolled_back.cpp
@@ -64,7 +64,8 @@
         add(16, 0, 2, 40, boxes[4]);
         add(32, 0, 3, 40, boxes[4]);
         auto in_list = places;
-        in_list.erase(in_list.begin() + 3);  // the coordinator does not list the extra box
+        // The coordinator does not list the extra box. LISTED=1 is no part of the case, see REPORT.md.
+        if (environment("LISTED", "0") == "0") in_list.erase(in_list.begin() + 3);
 
         Coordinator coordinator(1);
         ControlService control(record);
--- a/review/stand/site.hpp
+++ b/review/stand/site.hpp
@@ -12,7 +12,8 @@
     std::string zone, kind;
 };
 
-inline std::string known(const std::vector<Place>& places) {
+// `last`: the number of the last event that the list takes in.
+inline std::string known(const std::vector<Place>& places, int last = 1) {
     std::string servers;
     for (auto& [entry, zone, kind] : places) {
         static const char* states[] = {"in_service", "terminating", "terminated"};
@@ -23,8 +24,9 @@
             cache_name(entry.id).c_str(), entry.port, zone.c_str(), kind.c_str(), entry.cell,
             states[entry.state], entry.weight, static_cast<long long>(entry.started / ms));
     }
-    return R"({"index":1,"updates":[{"index":1,"endpoints":{"version":1,"full":true,"servers":[)" + servers +
-           "]}}]}";
+    return text(R"({"index":%d,"updates":[{"index":%d,"endpoints":{"version":%d,"full":true,"servers":[)",
+                last, last, last) +
+           servers + "]}}]}";
 }
 
 // partner-schools.toml with three routers, two at school-1 and one at school-2, or with `zones` 2 all at
--- a/review/stand/stand.hpp
+++ b/review/stand/stand.hpp
@@ -203,7 +203,7 @@
 struct Asked {  // a request as it has come whole to a cache
     Micros first_byte, whole;
     std::uint32_t cache;
-    std::string id, kind, object, parent, options, have;
+    std::string id, kind, object, parent, options, have, host;
     int part = 0;
     Micros fresh = 0;
 };
@@ -275,6 +275,7 @@
             asked.object = object;
             asked.id = field(head, "X-Hop-Id");
             asked.parent = field(head, "X-Parent");
+            asked.host = field(head, "Host");
             asked.options = field(head, "X-Opts");
             asked.have = field(head, "X-Have");
             asked.fresh = std::atoll(field(head, "X-Fresh-Ms").c_str()) * ms;
