--- a/review/1/over_limit.cpp
+++ b/review/1/over_limit.cpp
@@ -59,7 +59,7 @@
     bool trouble = environment("TROUBLE", "1") != "0";
     try {
         Record record(folder + "/record.txt");
-        School school(record, part_bytes);
+        Location school({"central", "school-1"}, school_answer(part_bytes));
         Coordinator coordinator(1);
         std::vector<std::unique_ptr<Router>> routers;
         std::list<Platform> platform;
@@ -85,7 +85,7 @@
         for (std::size_t at = 0; at < routers.size(); at++)
             for (int i = 0; i < connections; i++)
                 threads.emplace_back([&, at, i] {
-                    Viewer viewer(routers[at]->port, i, part_bytes, patience);
+                    Viewer viewer(routers[at]->port, i, {"lesson-video", "", part_bytes, 0, patience, 0, 0});
                     std::vector<Piped> asked;
                     // One router after another has its turn, so that the boxes are not asked by all at once.
                     Micros next = now() + static_cast<Micros>(at) * every / routers_in_all;
--- a/review/stand/pipeline.hpp
+++ b/review/stand/pipeline.hpp
@@ -11,7 +11,7 @@
 
 // One request that a client has written whole.
 struct Piped {
-    std::string id, object;
+    std::string id, kind, object;
     int part = 0, connection = 0, tries = 1;
     Micros taken = 0, due = 0, ended = 0;
     bool answered = false;
@@ -19,11 +19,19 @@
     bool in_time() const { return answered && ended <= due + slack + answer_bound; }
 };
 
-// One connection at a time to one router. Parts of a video are asked for, so many at once.
+// What a client asks for: parts of videos, and where `order` is named, an order with its document as the last
+// of each round, `order_after` the parts.
+struct Wish {
+    std::string video, order;
+    std::size_t bytes = 0, document = 0;  // of a part, of an order
+    Micros patience = 0, order_patience = 0, order_after = 0;
+};
+
+// One connection at a time to one router.
 class Viewer {
 public:
-    Viewer(int port, int number, std::size_t bytes, Micros patience)
-        : port(port), number_(number), bytes(bytes), patience(patience), chance(number * 7919 + port) {}
+    Viewer(int port, int number, Wish wish)
+        : port(port), number_(number), wish(std::move(wish)), chance(number * 7919 + port) {}
     Viewer(const Viewer&) = delete;
     Viewer& operator=(const Viewer&) = delete;
     ~Viewer() {
@@ -32,32 +40,46 @@
 
     // Asks for `parts` parts of one object on one connection: in one write where `span` is 0, else one after
     // another, evenly over that time. Returns when each has its answer, the connection has ended, or the time
-    // of all and the slack is over. What was on a connection that ended within 50 ms of its last byte is sent
-    // again on a new one, once.
+    // of all and the slack is over. What may have crossed the end of the connection is sent again on a new
+    // one, once: its last byte was written 50 ms before at most, and nothing that came after it is answered.
     void watch(int parts, Micros span, std::vector<Piped>& asked) {
         auto object = hex(chance());
         std::vector<Piped> round(static_cast<std::size_t>(parts));
         for (int part = 0; part < parts; part++) {
             auto& one = round[static_cast<std::size_t>(part)];
+            bool order = !wish.order.empty() && part == parts - 1;
             one.id = hex(chance());
-            one.object = object;
-            one.part = part;
+            one.kind = order ? wish.order : wish.video;
+            one.object = order ? hex(chance()) : object;
+            one.part = order ? 0 : part;
             one.connection = number_;
         }
         Micros begun = now();
-        if (span == 0) send(round, 0, round.size());
+        if (span == 0) {
+            auto parts_alone = round.size() - (wish.order.empty() ? 0 : 1);
+            send(round, 0, parts_alone);
+            if (parts_alone < round.size()) {
+                wait(round, begun + wish.order_after, false);
+                send(round, parts_alone, 1);
+            }
+        }
         for (int part = 0; span > 0 && part < parts; part++) {
             wait(round, begun + part * span / parts, false);
             send(round, static_cast<std::size_t>(part), 1);
         }
-        wait(round, now() + patience + slack + answer_bound, true);
+        wait(round, now() + longest(), true);
+        // What was written before one that is answered was read, so it has not crossed the end.
         std::vector<Piped> again;
-        for (auto& one : round)
-            if (!one.answered && one.taken > 0 && one.ended - one.taken <= crossing) again.push_back(one);
+        for (auto& one : round) {
+            if (one.answered)
+                again.clear();
+            else if (one.taken > 0 && one.ended - one.taken <= crossing)
+                again.push_back(one);
+        }
         if (!again.empty()) {
             for (auto& one : again) one.tries = 2;
             send(again, 0, again.size());
-            wait(again, now() + patience + slack + answer_bound, true);
+            wait(again, now() + longest(), true);
             for (auto& one : round)
                 for (auto& other : again)
                     if (other.id == one.id) one = other;
@@ -66,6 +88,10 @@
     }
 
 private:
+    Micros patience_of(const Piped& one) const {
+        return one.kind == wish.order ? wish.order_patience : wish.patience;
+    }
+    Micros longest() const { return std::max(wish.patience, wish.order_patience) + slack + answer_bound; }
     void send(std::vector<Piped>& round, std::size_t from, std::size_t how_many) {
         if (fd < 0) {
             fd = connect_to(port);
@@ -78,20 +104,23 @@
                 round[i].end = "not let in";
                 continue;
             }
+            bool order = round[i].kind == wish.order;
             open[++seq] = i;
-            out += invoke(seq, {{"c", "lesson-video"},
-                                {"i", round[i].id},
-                                {"d", std::to_string(patience / ms)},
-                                {"o", round[i].object},
-                                {"part", std::to_string(round[i].part)},
-                                {"group", "7"},
-                                {"m", std::to_string(bytes * 7500 / 310'000)}});
+            out += invoke(seq,
+                          {{"c", round[i].kind},
+                           {"i", round[i].id},
+                           {"d", std::to_string(patience_of(round[i]) / ms)},
+                           {"o", round[i].object},
+                           {"part", std::to_string(round[i].part)},
+                           {"group", "7"},
+                           {"m", std::to_string(order ? 100 : wish.bytes * 7500 / 310'000)}},
+                          std::string(order ? wish.document : 0, 'd'));
         }
         if (fd < 0) return;
         bool whole = send_all(fd, out);
         for (auto i = from; i < from + how_many; i++) {
             round[i].taken = whole ? now() : 0;
-            round[i].due = round[i].taken + patience;
+            round[i].due = round[i].taken + patience_of(round[i]);
             if (!whole) round[i].end = "not written whole";
         }
         if (!whole) over(round, "its connection was reset");
@@ -148,8 +177,7 @@
     }
 
     int port, number_;
-    std::size_t bytes;
-    Micros patience;
+    Wish wish;
     std::mt19937_64 chance;
     int fd = -1;
     std::int32_t seq = 0;
@@ -157,38 +185,37 @@
     std::map<std::int32_t, std::size_t> open;
 };
 
-// A school with nine boxes, two zone caches and the main store. Each part of a video is held by every box and
-// is answered whole, after the time that its transfer takes at the pace of the configuration.
-class School {
+// One location: nine boxes, two caches above them, and the origin. `zones`: of these and of the boxes.
+class Location {
 public:
-    School(Record& record, std::size_t bytes) {
-        auto after = static_cast<Micros>(static_cast<double>(bytes) / flow_bytes_per_s * second);
-        auto answer = [this, bytes, after](const Asked& one) {
-            asked++;
-            return Cache::whole("200 OK",
-                                text("X-Tag: %s\r\nX-Minted: %lld\r\nX-Tell: HIT\r\n"
-                                     "X-Report: inflight:4;x1:0.3\r\n",
-                                     one.object.c_str(), static_cast<long long>(now() / ms)),
-                                std::string(bytes, 'v'), after);
-        };
-        static const char* zones[] = {"central", "school-1"};
+    Location(const std::array<std::string, 2>& zones, const Cache::Answer& answer) {
         static const char* kinds[] = {"small-box", "large-box", "parent", "origin"};
         auto add = [&](std::uint32_t id, int zone, int kind, double weight) {
             caches.push_back(std::make_unique<Cache>(id, answer));
-            places.push_back(
-                {{id, caches.back()->port(), 0, zone, kind, zone, weight, 0}, zones[zone], kinds[kind]});
+            places.push_back({{id, caches.back()->port(), 0, zone, kind, zone, weight, 0},
+                              zones[static_cast<std::size_t>(zone)],
+                              kinds[kind]});
         };
         for (std::uint32_t id = 1; id <= 9; id++) add(id, 1, id % 2 ? 0 : 1, 8);
         for (std::uint32_t id : {16U, 17U}) add(id, 0, 2, 40);
         add(32, 0, 3, 60);
-        record.line("a school: nine boxes, two zone caches, the main store; parts of %zu bytes, %.3f s each",
-                    bytes, static_cast<double>(after) / second);
     }
     std::vector<Place> places;
-    std::atomic<int> asked = 0;
 
 private:
     std::vector<std::unique_ptr<Cache>> caches;
 };
+// A school's boxes: each part of a video is answered whole, after the time that its transfer takes at the
+// pace of the configuration.
+inline Cache::Answer school_answer(std::size_t bytes) {
+    auto after = static_cast<Micros>(static_cast<double>(bytes) / flow_bytes_per_s * second);
+    return [bytes, after](const Asked& one) {
+        return Cache::whole("200 OK",
+                            text("X-Tag: %s\r\nX-Minted: %lld\r\nX-Tell: HIT\r\n"
+                                 "X-Report: inflight:4;x1:0.3\r\n",
+                                 one.object.c_str(), static_cast<long long>(now() / ms)),
+                            std::string(bytes, 'v'), after);
+    };
+}
 
 }  // namespace stand
