--- a/review/stand/stand.hpp
+++ b/review/stand/stand.hpp
@@ -380,7 +380,8 @@
 // Stands before another port; what comes from there is passed on `delay` later, in order.
 class Proxy {
 public:
-    explicit Proxy(int to) : to(to), listener([this](int fd, int) { serve(fd); }) {}
+    explicit Proxy(int to, int wanted_port = 0)
+        : to(to), listener([this](int fd, int) { serve(fd); }, wanted_port) {}
     ~Proxy() {
         stopping = true;
         listener.stop();
