--- a/review/stand-2/stand.hpp
+++ b/review/stand-2/stand.hpp
@@ -526,8 +526,10 @@
 
 // Settings like those of the smallest deployment of the first brief.
 struct Site {
-    std::string page_effect = "retryable", page_write = "false", order_write = "true";
+    // Of the classes: one with parts, one of pages, and one that runs at the origin and may not be repeated.
+    std::string parts = "lesson-video", pages = "timetable-page", orders = "order-submit";
     std::int64_t drain_grace_ms = 2000, purge_grace_ms = 1000;
+    std::string probes = "true";
     int memory_mb = 192, sockets = 1024;
     int routers = 1;
 };
@@ -547,50 +549,51 @@
 inline std::string configuration(const Site& site, const std::string& name, std::uint16_t listen,
                                  std::uint16_t coordinator, const std::vector<Entry>& entries) {
     std::string servers;
-    for (auto& entry : entries) servers += (servers.empty() ? "" : ",") + entry_json(entry);
-    auto us = [](std::int64_t ms) { return std::to_string(ms * 1000); };
-    return "{\"name\":\"" + name + "\",\"listen\":\"127.0.0.1:" + std::to_string(listen) +
-           "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":" +
-           std::to_string(site.memory_mb) + ",\"sockets\":" + std::to_string(site.sockets) +
-           "},\"coordinator\":\"127.0.0.1:" + std::to_string(coordinator) +
-           "\",\"flow_bytes_per_s\":310000,\"link_bytes_per_s\":1240000,"
-           "\"known\":{\"index\":1,\"updates\":[{\"index\":1,\"endpoints\":{\"version\":1,\"full\":true,"
-           "\"servers\":[" +
-           servers + "]}}]},\"settings\":{\"balancers\":" + std::to_string(site.routers) +
-           ",\"index\":0,\"clients\":{\"marks_retry\":true},\"discovery\":\"push\",\"domain_type\":\"edge\","
-           "\"family_info\":{\"aged_worth\":[0.7,0.7,0.7],\"can_join\":false,\"client_kb_per_s\":7500.0,"
-           "\"count_by_zone\":[0," +
-           std::to_string(site.routers) +
-           "],\"direct\":false,\"fresh_for\":[0,20000000,0],\"grace_for\":[0,0,0],\"hub_of\":[0,0],"
-           "\"in_parts\":[true,false,false],\"link_in_kb_per_s\":[0.0,62781.0],\"master_kind\":2,"
-           "\"notes_given\":\"hit\",\"obey_after\":" +
-           us(site.purge_grace_ms) +
-           ",\"origin_fall\":3000000,\"origin_stops_at\":0.0,\"parent_cold\":22000000,"
-           "\"parent_cold_from\":0.073,\"parent_limit_factor\":2.0,\"pass_on\":[false," +
-           site.page_write + "," + site.order_write +
-           "],\"price_of_link\":0.02,\"purge_done\":6000000,\"shield_kind\":1,\"sideways\":\"off\"},"
-           "\"flavors\":[\"box\",\"parent\",\"origin\"],"
-           "\"grades\":[{\"aim_stretch\":1.6,\"deadline\":6000000,\"dedup_scope\":\"all\",\"effect\":"
-           "\"retryable\",\"importance\":2.0,\"key_ttl\":5000000,\"late_value\":0.15,\"name\":"
-           "\"lesson-video\",\"promise\":500000,\"stream\":false},"
-           "{\"aim_stretch\":2.0,\"deadline\":3000000,\"dedup_scope\":\"all\",\"effect\":\"" +
-           site.page_effect +
-           "\",\"importance\":1.0,\"key_ttl\":5000000,\"late_value\":0.2,\"name\":\"timetable-page\","
-           "\"promise\":300000,\"stream\":false},"
-           "{\"aim_stretch\":2.0,\"deadline\":3000000,\"dedup_scope\":\"all\",\"effect\":\"fragile\","
-           "\"importance\":3.0,\"key_ttl\":5000000,\"late_value\":0.2,\"name\":\"order-submit\","
-           "\"promise\":800000,\"stream\":false}],"
-           "\"limits\":{\"attempts_cap\":8,\"cancel\":true,\"connect_timeout\":400000,"
-           "\"cpu_us_per_request\":0.0,\"cpu_us_per_s\":500000,\"keepalive\":30000000,\"max_open\":20000,"
-           "\"max_retry_after\":500000,\"peers\":false,\"probes\":true,\"retry_after\":true,"
-           "\"second_copies\":true,\"streams_per_conn\":32},"
-           "\"load_report\":{\"fields\":[\"outstanding\",\"x1\"],\"how\":\"inline\"},"
-           "\"over_share_worth\":0.1,\"prices\":{},"
-           "\"safety\":{\"answer_slack\":8000,\"cold\":18000000,\"cold_from\":0.22,\"drain_grace\":" +
-           us(site.drain_grace_ms) +
-           ",\"fall_multiple\":3.0,\"must_ask_in\":10000000,\"overload_for\":1000000},"
-           "\"tenants\":[],\"tick\":2000,\"tier\":0,\"tiers\":[\"school-boxes\"],\"weights\":\"nominal\","
-           "\"worth_by\":\"request\",\"zone\":1,\"zones\":[\"central\",\"school\"]}}\n";
+    for (auto& entry : entries) servers += (servers.empty() ? "" : ",\n ") + entry_json(entry);
+    std::string text = R"({"name":"NAME","listen":"127.0.0.1:LISTEN","seed":"8c1f30d27a5be964",
+"limits":{"cores":1.0,"memory_mb":MEMORY,"sockets":SOCKETS},
+"coordinator":"127.0.0.1:COORDINATOR","flow_bytes_per_s":310000,"link_bytes_per_s":1240000,
+"known":{"index":1,"updates":[{"index":1,"endpoints":{"version":1,"full":true,"servers":[SERVERS]}}]},
+"settings":{"balancers":ROUTERS,"index":0,"clients":{"marks_retry":true},"discovery":"push","domain_type":"edge",
+"family_info":{"aged_worth":[0.7,0.7,0.7],"can_join":false,"client_kb_per_s":7500.0,"count_by_zone":[0,ROUTERS],
+"direct":false,"fresh_for":[0,20000000,0],"grace_for":[0,0,0],"hub_of":[0,0],"in_parts":[true,false,false],
+"link_in_kb_per_s":[0.0,62781.0],"master_kind":2,"notes_given":"hit","obey_after":OBEY,"origin_fall":3000000,
+"origin_stops_at":0.0,"parent_cold":22000000,"parent_cold_from":0.073,"parent_limit_factor":2.0,
+"pass_on":[false,false,true],"price_of_link":0.02,"purge_done":6000000,"shield_kind":1,"sideways":"off"},
+"flavors":["box","parent","origin"],
+"grades":[{"aim_stretch":1.6,"deadline":6000000,"dedup_scope":"all","effect":"retryable","importance":2.0,
+"key_ttl":5000000,"late_value":0.15,"name":"PARTS","promise":500000,"stream":false},
+{"aim_stretch":2.0,"deadline":3000000,"dedup_scope":"all","effect":"retryable","importance":1.0,
+"key_ttl":5000000,"late_value":0.2,"name":"PAGES","promise":300000,"stream":false},
+{"aim_stretch":2.0,"deadline":3000000,"dedup_scope":"all","effect":"fragile","importance":3.0,
+"key_ttl":5000000,"late_value":0.2,"name":"ORDERS","promise":800000,"stream":false}],
+"limits":{"attempts_cap":8,"cancel":true,"connect_timeout":400000,"cpu_us_per_request":0.0,
+"cpu_us_per_s":500000,"keepalive":30000000,"max_open":20000,"max_retry_after":500000,"peers":false,
+"probes":PROBES,"retry_after":true,"second_copies":true,"streams_per_conn":32},
+"load_report":{"fields":["outstanding","x1"],"how":"inline"},"over_share_worth":0.1,"prices":{},
+"safety":{"answer_slack":8000,"cold":18000000,"cold_from":0.22,"drain_grace":GRACE,"fall_multiple":3.0,
+"must_ask_in":10000000,"overload_for":1000000},
+"tenants":[],"tick":2000,"tier":0,"tiers":["boxes"],"weights":"nominal","worth_by":"request","zone":1,
+"zones":["central","school"]}}
+)";
+    auto set = [&](const std::string& word, const std::string& value) {
+        for (std::size_t at = 0; (at = text.find(word, at)) != std::string::npos; at += value.size())
+            text.replace(at, word.size(), value);
+    };
+    set("NAME", name);
+    set("LISTEN", std::to_string(listen));
+    set("MEMORY", std::to_string(site.memory_mb));
+    set("SOCKETS", std::to_string(site.sockets));
+    set("COORDINATOR", std::to_string(coordinator));
+    set("SERVERS", servers);
+    set("ROUTERS", std::to_string(site.routers));
+    set("OBEY", std::to_string(site.purge_grace_ms * 1000));
+    set("GRACE", std::to_string(site.drain_grace_ms * 1000));
+    set("PROBES", site.probes);
+    set("PARTS", site.parts);
+    set("PAGES", site.pages);
+    set("ORDERS", site.orders);
+    return text;
 }
 
 // The command `run` of the deploy file.
