--- a/review/stand-2/stand.hpp
+++ b/review/stand-2/stand.hpp
@@ -529,7 +529,7 @@
     // Of the classes: one with parts, one of pages, and one that runs at the origin and may not be repeated.
     std::string parts = "lesson-video", pages = "timetable-page", orders = "order-submit";
     std::int64_t drain_grace_ms = 2000, purge_grace_ms = 1000;
-    std::string probes = "true";
+    std::string probes = "true", joins = "false";
     int memory_mb = 192, sockets = 1024;
     int routers = 1;
 };
@@ -555,7 +555,7 @@
 "coordinator":"127.0.0.1:COORDINATOR","flow_bytes_per_s":310000,"link_bytes_per_s":1240000,
 "known":{"index":1,"updates":[{"index":1,"endpoints":{"version":1,"full":true,"servers":[SERVERS]}}]},
 "settings":{"balancers":ROUTERS,"index":0,"clients":{"marks_retry":true},"discovery":"push","domain_type":"edge",
-"family_info":{"aged_worth":[0.7,0.7,0.7],"can_join":false,"client_kb_per_s":7500.0,"count_by_zone":[0,ROUTERS],
+"family_info":{"aged_worth":[0.7,0.7,0.7],"can_join":JOINS,"client_kb_per_s":7500.0,"count_by_zone":[0,ROUTERS],
 "direct":false,"fresh_for":[0,20000000,0],"grace_for":[0,0,0],"hub_of":[0,0],"in_parts":[true,false,false],
 "link_in_kb_per_s":[0.0,62781.0],"master_kind":2,"notes_given":"hit","obey_after":OBEY,"origin_fall":3000000,
 "origin_stops_at":0.0,"parent_cold":22000000,"parent_cold_from":0.073,"parent_limit_factor":2.0,
@@ -590,6 +590,7 @@
     set("OBEY", std::to_string(site.purge_grace_ms * 1000));
     set("GRACE", std::to_string(site.drain_grace_ms * 1000));
     set("PROBES", site.probes);
+    set("JOINS", site.joins);
     set("PARTS", site.parts);
     set("PAGES", site.pages);
     set("ORDERS", site.orders);
