--- a/review/stand-2/stand.hpp
+++ b/review/stand-2/stand.hpp
@@ -12,6 +12,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <array>
 #include <atomic>
 #include <cerrno>
 #include <chrono>
@@ -624,7 +625,7 @@
     }
     // Starts it and waits until it answers a ping with good.
     void start() {
-        auto line = run_line();
+        auto line = run_line() + options;
         pid = ::fork();
         if (pid == 0) {
             ::prctl(PR_SET_PDEATHSIG, SIGKILL);
@@ -651,6 +652,7 @@
     bool running() const { return ::waitpid(pid, nullptr, WNOHANG) == 0; }
 
     Record& record;
+    std::string options;  // behind the command
     const std::string name, config, log;
     std::uint16_t port = 0;
     pid_t pid = -1;
