--- a/review/stand-2/slow_uploads.cpp
+++ b/review/stand-2/slow_uploads.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-constexpr int uploads = 40, pieces = 200, orders = 40;
-constexpr std::size_t upload_bytes = 200'000, order_bytes = 60'000;
-constexpr std::int64_t apart_ms = 40, wait_ms = 3000, order_every_ms = 200, slack_ms = 550;
+constexpr int uploads = 32, pieces = 235, orders = 16;
+constexpr std::size_t upload_bytes = 235'000, order_bytes = 60'000;
+constexpr std::int64_t apart_ms = 40, wait_ms = 3000, order_every_ms = 500, slack_ms = 550, lead_ms = 3000;
 
 std::string call(std::int32_t seq, const std::string& type, std::uint64_t id, std::size_t body) {
     return invoke(seq,
@@ -57,7 +57,7 @@
     std::vector<std::thread> threads;
     for (int i = 1; i <= uploads; i++)
         threads.emplace_back([&, i] {
-            sleep_ms(30 * i);
+            sleep_ms(lead_ms + 20 * i);
             Client client(router.port);
             client.write(call(1, "term-pages", 0x100000u + static_cast<unsigned>(i), 0));
             if (!client.read(4000)) record.line("upload %d: its first request was not answered", i);
@@ -79,7 +79,7 @@
         });
     for (int i = 1; i <= orders; i++)
         threads.emplace_back([&, i] {
-            sleep_ms(1000 + order_every_ms * i);
+            sleep_ms(lead_ms + 1000 + order_every_ms * i);
             Client client(router.port);
             bool written =
                 client.write(call(1, "order-submit", 0x300000u + static_cast<unsigned>(i), order_bytes));
@@ -95,7 +95,25 @@
             if (got && took > wait_ms + slack_ms) late_orders++;
             if (got) answered++;
         });
+    // The other lookups, of which orders are under 3.1% in all.
+    std::atomic<bool> stop{false};
+    std::atomic<int> lookups{0}, none{0};
+    std::vector<std::thread> others;
+    for (int i = 0; i < 2; i++)
+        others.emplace_back([&, i] {
+            Client client(router.port);
+            for (std::int32_t seq = 1; !stop; seq++) {
+                client.write(call(seq, "term-pages",
+                                  (0x400000u + static_cast<unsigned>(i)) << 20 | static_cast<unsigned>(seq),
+                                  0));
+                client.read(wait_ms + slack_ms) ? lookups++ : none++;
+                sleep_ms(11);
+            }
+        });
     for (auto& thread : threads) thread.join();
+    stop = true;
+    for (auto& thread : others) thread.join();
+    record.line("other lookups answered: %d, not: %d", lookups.load(), none.load());
     if (!router.running()) finish(record, broken, "the router has ended");
     record.line(
         "orders answered %d, never %d, after half a second past their time %d; uploads lost %d; ran %d",
--- a/review/stand-2/stand.hpp
+++ b/review/stand-2/stand.hpp
@@ -473,7 +473,8 @@
                 in.append(piece, static_cast<std::size_t>(got));
         }
     }
-    bool ended() const { return over || fd < 0; }  // the router has closed
+    bool ended() const { return over || fd < 0; }     // the router has closed
+    void stop() const { ::shutdown(fd, SHUT_RDWR); }  // a write that waits ends too
 
 private:
     static Fields read_map(const std::string& in, std::size_t& at) {
