--- a/review/stand-2/order_burst.cpp
+++ b/review/stand-2/order_burst.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-constexpr int clients = 160, each = 4, memory_mb = 32, sockets = 512;
-constexpr std::size_t order_bytes = 235'000;
+constexpr int clients = 168, each = 4, memory_mb = 32, sockets = 512;
+constexpr std::size_t order_bytes = 239'000;
 constexpr std::int64_t burst_at = 20'000, end_at = 60'000, wait_ms = 3000;
 
 // What is the process's own, in kB.
