--- a/review/stand-2/order_burst.cpp
+++ b/review/stand-2/order_burst.cpp
@@ -1,14 +1,14 @@
-// Whether a router keeps within its memory while clients send four large orders at once each. Called with the
-// folder of the record and a temporary one.
+// Whether a router keeps within its memory while clients send eight large orders at once each. Called with
+// the folder of the record and a temporary one.
 #include "stand.hpp"
 
 using namespace stand;
 
 namespace {
 
-constexpr int clients = 168, each = 4, memory_mb = 32, sockets = 512;
+constexpr int clients = 164, each = 8, memory_mb = 32, sockets = 512;
 constexpr std::size_t order_bytes = 239'000;
-constexpr std::int64_t burst_at = 20'000, end_at = 60'000, wait_ms = 3000;
+constexpr std::int64_t burst_at = 20'000, end_at = 66'000, wait_ms = 3000;
 
 // What is the process's own, in kB.
 long own_memory(pid_t pid) {
@@ -78,7 +78,7 @@
         }
     });
     std::vector<std::thread> pages;
-    for (int i = 0; i < 2; i++)
+    for (int i = 0; i < 4; i++)
         pages.emplace_back([&] {
             Client client(router.port);
             for (std::int32_t seq = 1; at() < end_at && !over; seq++) {
@@ -90,7 +90,7 @@
     std::vector<std::thread> threads;
     for (int i = 0; i < clients; i++)
         threads.emplace_back([&, i] {
-            // At once: four orders in one write, all clients at the same moment. Else one by one, over a
+            // At once: eight orders in one write, all clients at the same moment. Else one by one, over a
             // minute.
             for (int k = 0; k < (trouble() ? 1 : each); k++) {
                 auto due =
@@ -124,6 +124,6 @@
                "the router went over its memory and was killed, " + std::to_string(orders - answered) +
                    " orders had no answer");
     if (!router.running()) finish(record, broken, "the router has ended");
-    if (lookups < 15'000) finish(record, could_not_run, "too few lookups");
+    if (lookups < 30'000) finish(record, could_not_run, "too few lookups");
     finish(record, held, "the router kept within its memory: " + std::to_string(most.load()) + " kB at most");
 }
