--- a/review/stand-2/order_burst.cpp
+++ b/review/stand-2/order_burst.cpp
@@ -1,4 +1,4 @@
-// Whether a router keeps within its memory while clients send eight large orders at once each. Called with
+// Whether a router keeps within its memory while clients send six large orders at once each. Called with
 // the folder of the record and a temporary one.
 #include "stand.hpp"
 
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr int clients = 164, each = 8, memory_mb = 32, sockets = 512;
+constexpr int clients = 208, each = 6, memory_mb = 32, sockets = 640;
 constexpr std::size_t order_bytes = 239'000;
 constexpr std::int64_t burst_at = 20'000, end_at = 66'000, wait_ms = 3000;
 
@@ -90,7 +90,7 @@
     std::vector<std::thread> threads;
     for (int i = 0; i < clients; i++)
         threads.emplace_back([&, i] {
-            // At once: eight orders in one write, all clients at the same moment. Else one by one, over a
+            // At once: six orders in one write, all clients at the same moment. Else one by one, over a
             // minute.
             for (int k = 0; k < (trouble() ? 1 : each); k++) {
                 auto due =
