--- a/review/stand-2/stand.hpp
+++ b/review/stand-2/stand.hpp
@@ -76,12 +76,18 @@
     std::int64_t begun;
 };
 
-// Ends the case at once; what it started ends with it, by the signal that each asks for at its parent's end.
+inline std::vector<pid_t> started;  // processes of the case
+
+// Ends the case at once, and all processes that it started.
 [[noreturn]] inline void finish(Record& record, int code, const std::string& why) {
     const char* word = code == held ? "held" : code == broken ? "broken" : "could not run";
     record.line("verdict: %s: %s", word, why.c_str());
     std::printf("%s: %s\n", word, why.c_str());
     std::fflush(stdout);
+    for (auto process : started) {
+        ::kill(process, SIGKILL);
+        ::waitpid(process, nullptr, 0);
+    }
     std::_Exit(code);
 }
 
@@ -628,6 +634,7 @@
     void start() {
         auto line = run_line() + options;
         pid = ::fork();
+        if (pid > 0) started.push_back(pid);
         if (pid == 0) {
             ::prctl(PR_SET_PDEATHSIG, SIGKILL);
             ::setenv("PROXY_NAME", name.c_str(), 1);
