Tests: the sampler's sleeping child waits in ppoll, a call that arm64 has too

Cause: tests/sampler_test.cpp named SYS_pause, which x86-64 alone has, so the tests did not build on arm64.

Change: the children that sleep call ppoll by its number in place of pause(2), and the checks ask for that number. They are as strict as before: one call, known by its number, on both processors.

--- a/tests/sampler_test.cpp
+++ b/tests/sampler_test.cpp
@@ -45,6 +45,10 @@
     pid_t pid;
 };
 
+// Waits without end in one system call that every processor's kernel has. pause(2) has a number of its own on
+// x86-64 only; elsewhere the C library takes another call for it.
+void sleep_in_ppoll() { syscall(SYS_ppoll, nullptr, 0, nullptr, nullptr, 0); }
+
 void compute() {
     volatile int steps = 0;
     while (steps < 1000) steps = steps + 1;
@@ -225,7 +229,7 @@
 TEST_CASE("sampler: a child that computes, one that sleeps and one that is stopped are told apart") {
     std::ostringstream report;
     Sampler sampler({.program = "", .parent = getpid(), .ring = 4, .write_samples = true}, report);
-    Child computing(compute), sleeping([] { pause(); }), stopped([] { pause(); });
+    Child computing(compute), sleeping(sleep_in_ppoll), stopped(sleep_in_ppoll);
     kill(stopped.pid, SIGSTOP);
     auto state_of = [&](pid_t pid) {
         auto* history = sampler.history_of(pid);
@@ -236,7 +240,7 @@
                state_of(stopped.pid) == 'T';
     }));
     CHECK(processor_time(sampler, sleeping.pid) < 50ms);
-    CHECK(sampler.history_of(sleeping.pid)->last().call.number == SYS_pause);
+    CHECK(sampler.history_of(sleeping.pid)->last().call.number == SYS_ppoll);
     CHECK(sampler.history_of(computing.pid)->kept().size() <= 4);
     CHECK(sampler.history_of(sleeping.pid)->last().allowed_cores >= 1);
     CHECK(sampler.history_of(getpid()) == nullptr);
@@ -253,7 +257,7 @@
     sampler.finish();
     CHECK(line_on(report.str(), slept).find("still there: ") != std::string::npos);
     CHECK(line_on(report.str(), slept).find("state S") != std::string::npos);
-    CHECK(line_on(report.str(), slept).find("call " + std::to_string(SYS_pause) + " ") != std::string::npos);
+    CHECK(line_on(report.str(), slept).find("call " + std::to_string(SYS_ppoll) + " ") != std::string::npos);
     CHECK(line_on(report.str(), stopped.pid).find("state T") != std::string::npos);
     CHECK(report.str().find("\nclocks: ") != std::string::npos);
     CHECK(report.str().find("\ncores: ") != std::string::npos);
@@ -294,7 +298,7 @@
 }
 
 TEST_CASE("sampler: where a name and a parent are given, only what has both is followed") {
-    Child sleeping([] { pause(); });
+    Child sleeping(sleep_in_ppoll);
     std::ostringstream report;
     std::string own_name = parse_stat(first_line("/proc/self/stat"))->program;
     Sampler both({.program = own_name, .parent = getpid()}, report),
@@ -308,7 +312,7 @@
 TEST_CASE("sampler: only those worse than a bound are reported, and those that are stopped") {
     std::ostringstream report;
     Sampler sampler({.program = "", .parent = getpid(), .only_worse_than = 100ms}, report);
-    Child computing(compute), sleeping([] { pause(); }), stopped([] { pause(); });
+    Child computing(compute), sleeping(sleep_in_ppoll), stopped(sleep_in_ppoll);
     kill(stopped.pid, SIGSTOP);
     REQUIRE(sample_until(sampler, [&] {
         auto* history = sampler.history_of(stopped.pid);
@@ -323,7 +327,7 @@
 
 TEST_CASE("sampler: the program follows children, and writes its report when it is told to end") {
     std::string path = "/tmp/quillgrade_sampler_test_" + std::to_string(getpid());
-    Child living([] { pause(); });
+    Child living(sleep_in_ppoll);
     auto parent = std::to_string(getpid());
     pid_t program = fork();
     REQUIRE(program >= 0);
@@ -341,7 +345,7 @@
     auto limit = std::chrono::steady_clock::now() + std::chrono::milliseconds(patience_ms);
     std::string ended_line;
     while (ended_line.empty() && std::chrono::steady_clock::now() < limit) {
-        Child ending([] { pause(); });
+        Child ending(sleep_in_ppoll);
         usleep(20'000);
         pid_t ended = ending.pid;
         ending.end();
