--- a/src/rig/call.cpp
+++ b/src/rig/call.cpp
@@ -18,7 +18,8 @@
 
 }  // namespace
 
-std::string framed_call(std::int32_t sequence_number, const std::map<std::string, std::string>& fields) {
+std::string framed_call(std::int32_t sequence_number, const std::map<std::string, std::string>& fields,
+                        const std::string& body) {
     std::string content;
     put_number(content, 4, 0x80010001);  // strict binary, a call
     put_text(content, "invoke");
@@ -29,7 +30,9 @@
         put_text(content, name);
         put_text(content, value);
     }
-    content += std::string("\x0b\x00\x02\x00\x00\x00\x00\x00", 8);
+    content += std::string("\x0b\x00\x02", 3);
+    put_text(content, body);
+    content += '\0';
     std::string frame;
     put_text(frame, content);
     return frame;
--- a/src/rig/call.hpp
+++ b/src/rig/call.hpp
@@ -8,8 +8,9 @@
 
 namespace quillgrade::rig {
 
-// The frame of a call of `invoke` with these fields and no body.
-std::string framed_call(std::int32_t sequence_number, const std::map<std::string, std::string>& fields);
+// The frame of a call of `invoke` with these fields and this body.
+std::string framed_call(std::int32_t sequence_number, const std::map<std::string, std::string>& fields,
+                        const std::string& body = "");
 
 // As ids stand in fields: 16 hex digits.
 std::string hex_of(std::uint64_t value);
--- a/src/rig/world.cpp
+++ b/src/rig/world.cpp
@@ -75,6 +75,8 @@
     struct Served {
         Inner* world;
         Box* box;
+        std::string head = {};      // of the request that comes
+        std::size_t body_left = 0;  // bytes of its body that have not come
         Owned<bufferevent> buffer;
         Owned<event> due;
         std::list<Served>::iterator self;
@@ -206,7 +208,7 @@
         bufferevent_setcb(
             one.buffer.get(),
             [](bufferevent*, void* self) {
-                static_cast<Served*>(self)->world->request(*static_cast<Served*>(self));
+                static_cast<Served*>(self)->world->heard(*static_cast<Served*>(self));
             },
             nullptr,
             [](bufferevent*, short what, void* self) {
@@ -217,12 +219,23 @@
         bufferevent_enable(one.buffer.get(), EV_READ | EV_WRITE);
     }
 
-    void request(Served& one) {
+    // Takes what has come; a request is seen once its body is whole.
+    void heard(Served& one) {
         auto* input = bufferevent_get_input(one.buffer.get());
-        auto end = evbuffer_search(input, "\r\n\r\n", 4, nullptr);
-        if (end.pos < 0) return;
-        std::string head(static_cast<std::size_t>(end.pos) + 4, '\0');
-        evbuffer_remove(input, head.data(), head.size());
+        if (one.head.empty()) {
+            auto end = evbuffer_search(input, "\r\n\r\n", 4, nullptr);
+            if (end.pos < 0) return;
+            one.head.resize(static_cast<std::size_t>(end.pos) + 4);
+            evbuffer_remove(input, one.head.data(), one.head.size());
+            one.body_left = std::strtoull(field_of(one.head, "Content-Length").c_str(), nullptr, 10);
+        }
+        auto taken = std::min(one.body_left, evbuffer_get_length(input));
+        evbuffer_drain(input, taken);
+        one.body_left -= taken;
+        if (one.body_left == 0) request(one, std::exchange(one.head, {}));
+    }
+
+    void request(Served& one, std::string head) {
         {
             std::lock_guard hold(lock);
             observe(*one.box, head);
