--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -247,6 +247,107 @@
     CHECK(quiet.front.connected() == 1);
 }
 
+// Guards against a long request that never has room, as shorter ones that came later take it.
+TEST_CASE("a request that comes later passes none that waits for room") {
+    NoRoom quiet;
+    Socket later;
+    REQUIRE(later.connect(quiet.port));
+    quiet.others.resize(quiet.requests.limit() * 7 / 8 - 50'000);
+    REQUIRE(quiet.client.send(quiet.request(1)));
+    quiet.pump([&] { return quiet.requests.held() > quiet.others.bytes(); });
+    auto fields = call_fields();
+    REQUIRE(later.send(invoke(1, fields, std::string(30'000, 'x'))));
+    auto start = quiet.clock.now();
+    quiet.sweep_until([&] { return quiet.clock.now() - start > 200 * test_ms; });
+    CHECK(quiet.gathered.empty());
+    quiet.others = {};
+    quiet.sweep_until([&] { return quiet.gathered_of<Arrived>().size() == 2; });
+}
+
+// Guards against memory that fills with beginnings while there is no room.
+TEST_CASE("while requests wait for room little is read of a new one") {
+    NoRoom quiet;
+    Socket later;
+    REQUIRE(later.connect(quiet.port));
+    REQUIRE(quiet.client.send(quiet.request(1)));
+    quiet.pump([&] { return quiet.requests.held() > quiet.others.bytes(); });
+    auto before = quiet.requests.held();
+    REQUIRE(later.send(quiet.request(2)));
+    quiet.pump([&] { return quiet.requests.held() > before; });
+    quiet.rest();
+    CHECK(quiet.requests.held() <= before + 1'024);
+}
+
+// Two clients, and room for one long request and little more.
+struct RoomForOne : NoRoom {
+    static constexpr std::size_t long_body = 200'000;
+    RoomForOne() {
+        others.resize(requests.limit() * 7 / 8 - long_body - 10'000);
+        REQUIRE(later.connect(port));
+    }
+    // So much of the first client's request has come, and the other's waits for room.
+    void begin(std::size_t bytes) {
+        REQUIRE(client.send(sent.substr(0, bytes)));
+        auto granted = others.bytes() + sent.size();
+        pump([&] { return requests.held() == granted; });
+        rest();
+        REQUIRE(later.send(request(2)));
+        pump([&] { return requests.held() > granted; });
+    }
+    std::string sent = invoke(1, call_fields(), std::string(long_body, 'x'));
+    Socket later;
+};
+
+// Guards against requests that are refused while a slow sender holds room for bytes that come seconds later.
+TEST_CASE("the room that a slow sender does not use yet goes to a request that waits, and both are kept") {
+    RoomForOne quiet;
+    quiet.begin(20'000);
+    std::size_t at = 20'000;
+    auto next = quiet.clock.now();
+    quiet.sweep_until([&] {
+        if (quiet.clock.now() >= next) {
+            next += 20 * test_ms;
+            REQUIRE(quiet.client.send(quiet.sent.substr(at, 1'000)));
+            at += 1'000;
+        }
+        return !quiet.gathered.empty();
+    });
+    CHECK(quiet.gathered_of<Arrived>().size() == 1);
+    REQUIRE(quiet.client.send(quiet.sent.substr(at)));
+    quiet.gathered.clear();
+    quiet.sweep_until([&] { return !quiet.gathered.empty(); });
+    CHECK(quiet.gathered_of<Arrived>().size() == 1);
+}
+
+// Guards against a sender that is blamed for what the router has not read.
+TEST_CASE("a sender whose bytes lie unread has not stopped") {
+    RoomForOne quiet;
+    quiet.begin(quiet.sent.size() - 2'000);
+    REQUIRE(quiet.client.send(quiet.sent.substr(quiet.sent.size() - 2'000, 1'000)));
+    auto start = quiet.clock.now();
+    while (quiet.clock.now() - start < 400 * test_ms) usleep(1'000);  // the loop stands still
+    quiet.front.sweep();
+    REQUIRE(quiet.client.send(quiet.sent.substr(quiet.sent.size() - 1'000)));
+    quiet.sweep_until([&] { return !quiet.gathered.empty(); });
+    auto arrived = quiet.gathered_of<Arrived>();
+    REQUIRE(arrived.size() == 1);
+    CHECK(arrived[0].lookup.body.size() == RoomForOne::long_body);
+}
+
+TEST_CASE("the time in which a client was not read from is none of its silence") {
+    NoRoom quiet;
+    auto start = quiet.clock.now();
+    REQUIRE(quiet.client.send(quiet.request(1).substr(0, 10'000)));
+    quiet.sweep_until([&] { return quiet.clock.now() - start > 300 * test_ms; });
+    quiet.others = {};
+    quiet.sweep_until([&] { return quiet.requests.held() > 60'000; });
+    quiet.rest();
+    quiet.front.drop_overdue(start + 2'300 * test_ms);
+    CHECK_FALSE(Quiet::readable(quiet.client));
+    quiet.front.drop_overdue(start + 3'000 * test_ms);
+    CHECK(Quiet::readable(quiet.client));
+}
+
 // Guards against requests of one client that each wait their time, one behind the other.
 TEST_CASE("requests written in one go wait for room no longer than one of them would") {
     NoRoom quiet;
--- a/tests/request_wait_test.cpp
+++ b/tests/request_wait_test.cpp
@@ -24,12 +24,30 @@
 TEST_CASE("a lookup is sent on while the next request of its client waits for room") {
     RoomForOne one;
     REQUIRE(one.client.send(request(1, 200'000) + request(2, 200'000)));
-    one.steps([&] { return !one.gathered_of<Arrived>().empty() || one.turn.held() == 1; });
-    auto start = one.clock.now();
-    one.steps([&] { return Quiet::readable(one.cache); });
+    // The front is not swept, so the wait has no end.
+    auto turn_until = [&](auto done) {
+        one.pump([&] {
+            one.turn.take(std::exchange(one.gathered, {}), one.clock.now());
+            one.pool.sweep();
+            return done();
+        });
+    };
+    turn_until([&] { return one.turn.held() == 1 && Quiet::readable(one.cache); });
     auto link = accept(one.cache);
-    one.steps([&] { return Quiet::readable(link); });
-    CHECK(one.clock.now() - start < 400 * test_ms);
+    turn_until([&] { return Quiet::readable(link); });
+    CHECK_FALSE(Crossing::asked_nothing(link));
+    CHECK(one.turn.held() == 1);
+}
+
+// Guards against attempts that begin long after their client has cancelled, in what lies unread.
+TEST_CASE("behind an open lookup a request waits for room for a moment only") {
+    RoomForOne one;
+    REQUIRE(one.client.send(request(1, 200'000) + request(2, 200'000)));
+    one.steps([&] { return one.turn.held() == 1; });
+    auto start = one.clock.now();
+    one.steps([&] { return Quiet::readable(one.client); });
+    CHECK(one.clock.now() - start < 300 * test_ms);
+    CHECK(frame(one.client) == thrift::rejected(2, a_site().max_retry_after));
 }
 
 // Guards against requests that are lost for want of memory: each has its one answer, and the connection
